Add design page, project frame and shared modules

Cause: the repository was empty and parallel work needs fixed interfaces. Change: design page, exception tree, value types, settings, JSON with comments with positions, peer and HTTP frames, kernel, plug-in registry, interfaces to outside systems.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SOURCES := src tests standins demo bench model
+
+.PHONY: all demo test check format model bench wheel clean
+
+all: check test model
+
+$(STAMP): pyproject.toml
+	test -x $(BIN)/python || python3 -m venv $(VENV)
+	$(BIN)/python -m pip install -q -e '.[dev]'
+	touch $@
+
+demo: $(STAMP)
+	$(BIN)/python -m demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+check: $(STAMP)
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+format: $(STAMP)
+	$(BIN)/ruff format $(SOURCES)
+
+model: $(STAMP)
+	$(BIN)/python -m model
+
+bench: $(STAMP)
+	$(BIN)/python -m bench
+
+wheel: $(STAMP)
+	$(BIN)/python -m pip wheel -q --no-deps -w dist .
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against baselines and bounds."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a whole federation."""
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model checking of the core protocol."""
--- /dev/null
+++ b/src/lentildeal/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation; nothing here is a public interface."""
--- /dev/null
+++ b/src/lentildeal/_internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for live callers."""
--- /dev/null
+++ b/src/lentildeal/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Frame of the command-line client."""
--- /dev/null
+++ b/src/lentildeal/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each client command."""
--- /dev/null
+++ b/src/lentildeal/_internal/config/__init__.py
@@ -0,0 +1,1 @@
+"""The published federation text: parsing, checks, fold."""
--- /dev/null
+++ b/src/lentildeal/_internal/config/schema.py
@@ -0,0 +1,199 @@
+"""Decoding of parsed JSON into documented dataclasses, with all faults."""
+
+from __future__ import annotations
+
+import dataclasses
+import difflib
+import enum
+import functools
+import types
+import typing
+
+from lentildeal._internal.config import jsonc
+
+T = typing.TypeVar('T')
+
+_TYPE_NAMES = {
+    str: 'a string',
+    int: 'a whole number',
+    float: 'a number',
+    bool: 'true or false',
+    dict: 'an object',
+    list: 'an array',
+    type(None): 'null',
+}
+
+
+class Decoder:
+    """Decodes one text and collects its faults."""
+
+    def __init__(self, text: str) -> None:
+        self._text = text
+        self._faults: list[jsonc.Fault] = []
+
+    @functools.cached_property
+    def lines(self) -> dict[jsonc.Path, int]:
+        """Line of each path; found only when a fault needs it."""
+        return jsonc.find_lines(self._text)
+
+    @property
+    def faults(self) -> list[jsonc.Fault]:
+        """Faults found so far, in the order of the text."""
+        return sorted(self._faults, key=lambda fault: fault.line)
+
+    def add_fault(self, path: jsonc.Path, problem: str, remedy: str) -> None:
+        """Records a fault at a path or at its nearest known parent."""
+        place = path
+        while place and place not in self.lines:
+            place = place[:-1]
+        line = self.lines.get(place, 1)
+        self._faults.append(
+            jsonc.Fault(jsonc.format_path(path), line, problem, remedy)
+        )
+
+    def decode(
+        self, kind: typing.Any, value: typing.Any, path: jsonc.Path = ()
+    ) -> typing.Any:
+        """Decodes a value; on a fault returns None and records it."""
+        while hasattr(kind, '__supertype__'):
+            kind = kind.__supertype__
+        origin = typing.get_origin(kind)
+        if origin in (typing.Union, types.UnionType):
+            if value is None:
+                return None
+            (inner,) = (
+                k for k in typing.get_args(kind) if k is not type(None)
+            )
+            return self.decode(inner, value, path)
+        if origin is dict:
+            return self._decode_dict(kind, value, path)
+        if origin in (list, tuple):
+            return self._decode_list(kind, value, path)
+        if dataclasses.is_dataclass(kind):
+            return self._decode_dataclass(kind, value, path)
+        if isinstance(kind, type) and issubclass(kind, enum.Enum):
+            return self._decode_enum(kind, value, path)
+        return self._decode_scalar(kind, value, path)
+
+    def _decode_dict(self, kind, value, path):
+        if not self._is_type(value, dict, path):
+            return None
+        _, inner = typing.get_args(kind)
+        result = {}
+        for name, item in value.items():
+            if not name:
+                self.add_fault(path, 'a name is empty', 'give it a name')
+            result[name] = self.decode(inner, item, path + (name,))
+        return result
+
+    def _decode_list(self, kind, value, path):
+        if not self._is_type(value, list, path):
+            return None
+        inner = typing.get_args(kind)[0]
+        return [
+            self.decode(inner, item, path + (index,))
+            for index, item in enumerate(value)
+        ]
+
+    def _decode_dataclass(self, kind, value, path):
+        if not self._is_type(value, dict, path):
+            return None
+        hints = typing.get_type_hints(kind)
+        fields = {field.name: field for field in dataclasses.fields(kind)}
+        before = len(self._faults)
+        for name in value:
+            if name not in fields:
+                self._add_unknown_key(path + (name,), name, list(fields))
+        arguments = {}
+        for name, field in fields.items():
+            if name in value:
+                arguments[name] = self._decode_field(
+                    field, hints[name], value[name], path + (name,)
+                )
+            elif _is_required(field):
+                self.add_fault(
+                    path + (name,),
+                    'required key is missing',
+                    f'add "{name}": {field.metadata.get("doc", "")}',
+                )
+        if len(self._faults) > before:
+            return None
+        return kind(**arguments)
+
+    def _decode_field(self, field, kind, value, path):
+        result = self.decode(kind, value, path)
+        if isinstance(result, bool) or not isinstance(result, (int, float)):
+            return result
+        low = field.metadata.get('minimum')
+        high = field.metadata.get('maximum')
+        if low is not None and result < low:
+            self.add_fault(
+                path, f'{result} is too small', f'use {low} or more'
+            )
+        if high is not None and result > high:
+            self.add_fault(
+                path, f'{result} is too large', f'use {high} or less'
+            )
+        return result
+
+    def _decode_enum(self, kind, value, path):
+        try:
+            return kind(value)
+        except ValueError:
+            choices = ', '.join(f'"{member.value}"' for member in kind)
+            self.add_fault(
+                path, f'{value!r} is not a valid choice', f'use {choices}'
+            )
+            return None
+
+    def _decode_scalar(self, kind, value, path):
+        if kind is float and isinstance(value, int):
+            if not isinstance(value, bool):
+                return float(value)
+        if not self._is_type(value, kind, path):
+            return None
+        return value
+
+    def _is_type(self, value, kind, path) -> bool:
+        is_bool = isinstance(value, bool)
+        if isinstance(value, kind) and (kind is bool or not is_bool):
+            return True
+        self.add_fault(
+            path,
+            f'expected {_TYPE_NAMES[kind]}, found {_describe(value)}',
+            f'write {_TYPE_NAMES[kind]}',
+        )
+        return False
+
+    def _add_unknown_key(self, path, name, known):
+        nearest = difflib.get_close_matches(name, known, 1, 0.0)[0]
+        self.add_fault(
+            path, f'unknown key "{name}"', f'the nearest key is "{nearest}"'
+        )
+
+
+def load(kind: type[T], text: str) -> T:
+    """Parses and decodes a text.
+
+    Raises:
+        jsonc.TextFaultsError: The text has faults; all are listed.
+    """
+    decoder = Decoder(text)
+    result = decoder.decode(kind, jsonc.parse(text))
+    if decoder.faults:
+        raise jsonc.TextFaultsError(decoder.faults)
+    return result
+
+
+def _describe(value: typing.Any) -> str:
+    name = _TYPE_NAMES.get(type(value), 'a value')
+    if isinstance(value, (str, int, float, bool)):
+        return f'{name} ({value!r})'
+    return name
+
+
+def _is_required(field: dataclasses.Field) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
--- /dev/null
+++ b/src/lentildeal/_internal/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Life cycle of the daemon and the plug-in registry."""
--- /dev/null
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -0,0 +1,138 @@
+"""Life cycle of a daemon."""
+
+from __future__ import annotations
+
+import enum
+import random
+import typing
+
+import eventlet
+import eventlet.event
+from loguru import logger
+import prometheus_client
+
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.models import ids
+from lentildeal._internal.network import http_server
+from lentildeal._internal.network import peers
+from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import clock
+
+# How often a drain looks whether requests are still in flight, in seconds.
+DRAIN_POLL_S = 0.05
+RESTART_DELAY_S = 0.5
+
+_task_failures_total = prometheus_client.Counter(
+    'lentildeal_task_failures_total',
+    'Background tasks that failed and were started again.',
+    ['task'],
+)
+
+
+class KernelState(str, enum.Enum):
+    """Phase of the daemon's life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class Kernel:
+    """Owns the plug-ins and what they share."""
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.settings = settings
+        self.incarnation = ids.Incarnation(random.getrandbits(63))
+        self.router = http_server.Router()
+        self.http_server = http_server.HttpServer(settings, self.router)
+        self.peers = peers.PeerNetwork(settings, self.incarnation)
+        self._plugins: dict[str, plugins.Plugin] = {}
+        self._state = KernelState.STARTING
+        self._drain_requested = eventlet.event.Event()
+        self._work_counters: list[typing.Callable[[], int]] = []
+
+    @property
+    def state(self) -> KernelState:
+        """Phase of the daemon's life."""
+        return self._state
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._state in (KernelState.DRAINING, KernelState.STOPPED)
+
+    def plugin(self, name: str) -> typing.Any:
+        """Returns a plug-in by its registered name."""
+        return self._plugins[name]
+
+    def count_work(self, function: typing.Callable[[], int]) -> None:
+        """Registers a count of work that a planned stop waits for."""
+        self._work_counters.append(function)
+
+    def spawn(
+        self, name: str, function: typing.Callable, *arguments: typing.Any
+    ) -> None:
+        """Runs a function in a green thread and again after a failure."""
+        eventlet.spawn_n(self._supervise, name, function, arguments)
+
+    def request_drain(self) -> None:
+        """Begins a planned stop."""
+        if not self._drain_requested.ready():
+            self._drain_requested.send()
+
+    def start(self) -> None:
+        """Starts all plug-ins and listens."""
+        plugins.load_modules()
+        for name, cls in plugins.iter_in_order():
+            self._plugins[name] = cls(self)
+        for plugin in self._plugins.values():
+            plugin.start()
+        self.peers.start()
+        self.http_server.start()
+        self._state = KernelState.SERVING
+        logger.info('serving as {}', self.settings.instance)
+
+    def run(self) -> None:
+        """Serves until a planned stop is done."""
+        self.start()
+        self._drain_requested.wait()
+        self.drain()
+        self.stop()
+
+    def drain(self) -> None:
+        """Announces the stop, then waits for the work in flight."""
+        logger.info('draining')
+        self._state = KernelState.DRAINING
+        for plugin in reversed(list(self._plugins.values())):
+            plugin.drain()
+        timing = self.settings.timing
+        # Callers that the balancer still sends here are served until the
+        # leave time is over.
+        eventlet.sleep(timing.leave_ms / 1000)
+        self.http_server.stop()
+        deadline = clock.Deadline(timing.drain_ms / 1000)
+        while self._count_work() and not deadline.has_passed:
+            eventlet.sleep(DRAIN_POLL_S)
+
+    def stop(self) -> None:
+        """Ends all plug-ins and connections."""
+        self._state = KernelState.STOPPED
+        for plugin in reversed(list(self._plugins.values())):
+            plugin.stop()
+        self.peers.stop()
+        logger.info('stopped with {} requests in flight', self._count_work())
+
+    def _count_work(self) -> int:
+        extra = sum(function() for function in self._work_counters)
+        return self.http_server.in_flight + extra
+
+    def _supervise(self, name, function, arguments) -> None:
+        while self._state is not KernelState.STOPPED:
+            try:
+                function(*arguments)
+                return
+            except Exception as error:
+                _task_failures_total.labels(name).inc()
+                logger.opt(exception=error).error('task {} failed', name)
+                eventlet.sleep(RESTART_DELAY_S)
--- /dev/null
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -0,0 +1,49 @@
+"""Entry of the daemon ``lentildeald``."""
+
+# Sockets must be patched before any other module keeps a reference to them.
+import eventlet
+
+eventlet.monkey_patch()
+
+import argparse  # noqa: E402
+import pathlib  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+from loguru import logger  # noqa: E402
+
+from lentildeal._internal import exceptions  # noqa: E402
+from lentildeal._internal.kernel import kernel  # noqa: E402
+from lentildeal._internal.settings import settings  # noqa: E402
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Runs a daemon until SIGTERM or SIGINT and returns its exit status."""
+    parser = argparse.ArgumentParser(prog='lentildeald')
+    parser.add_argument('settings', type=pathlib.Path)
+    arguments = parser.parse_args()
+    try:
+        loaded = settings.load(arguments.settings)
+    except exceptions.SettingsError as error:
+        print(f'lentildeald: {error.message}', file=sys.stderr)
+        print(f'remedy: {error.remedy}', file=sys.stderr)
+        return EXIT_SETTINGS
+    _configure_log(loaded)
+    daemon = kernel.Kernel(loaded)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.request_drain())
+    daemon.run()
+    return EXIT_OK
+
+
+def _configure_log(loaded: settings.Settings) -> None:
+    logger.remove()
+    logger.configure(extra={'instance': loaded.instance})
+    logger.add(sys.stderr, level=loaded.logging.level, serialize=True)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -0,0 +1,81 @@
+"""Registry of the daemon's plug-ins."""
+
+from __future__ import annotations
+
+import importlib
+import typing
+
+if typing.TYPE_CHECKING:
+    from lentildeal._internal.kernel import kernel as kernel_module
+
+# Importing a module runs its decorators. A new plug-in is one new line.
+MODULES = (
+    'lentildeal._internal.config.reader',
+    'lentildeal._internal.config.publish',
+    'lentildeal._internal.membership.plugin',
+    'lentildeal._internal.routing.owner',
+    'lentildeal._internal.callers.plugin',
+    'lentildeal._internal.orders.swaps',
+    'lentildeal._internal.rollouts.trainers_api',
+    'lentildeal._internal.rollouts.worker',
+    'lentildeal._internal.reports.status',
+)
+
+
+class Plugin:
+    """Base of the plug-ins; all methods but the constructor are optional."""
+
+    def __init__(self, kernel: kernel_module.Kernel) -> None:
+        self._kernel = kernel
+
+    def start(self) -> None:
+        """Registers routes and handlers and spawns green threads."""
+
+    def drain(self) -> None:
+        """Stops taking new work; work in flight goes on."""
+
+    def stop(self) -> None:
+        """Ends for good, after the work in flight is done."""
+
+
+class _Entry(typing.NamedTuple):
+    cls: type[Plugin]
+    after: tuple[str, ...]
+
+
+_registry: dict[str, _Entry] = {}
+
+
+def register(
+    name: str, *, after: tuple[str, ...] = ()
+) -> typing.Callable[[type[Plugin]], type[Plugin]]:
+    """Registers a plug-in class that starts after the named ones."""
+
+    def add(cls: type[Plugin]) -> type[Plugin]:
+        _registry[name] = _Entry(cls, after)
+        return cls
+
+    return add
+
+
+def load_modules() -> None:
+    """Imports all plug-in modules."""
+    for module in MODULES:
+        importlib.import_module(module)
+
+
+def iter_in_order() -> typing.Iterator[tuple[str, type[Plugin]]]:
+    """Yields names and classes, each after what it depends on.
+
+    Raises:
+        ValueError: Plug-ins depend on each other or on an unknown one.
+    """
+    done: set[str] = set()
+    waiting = dict(_registry)
+    while waiting:
+        ready = [n for n, e in waiting.items() if done.issuperset(e.after)]
+        if not ready:
+            raise ValueError(f'plug-ins can not be ordered: {list(waiting)}')
+        for name in ready:
+            yield name, waiting.pop(name).cls
+            done.add(name)
--- /dev/null
+++ b/src/lentildeal/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live instances and ownership of replicas."""
--- /dev/null
+++ b/src/lentildeal/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Value types shared by all packages."""
--- /dev/null
+++ b/src/lentildeal/_internal/models/ids.py
@@ -0,0 +1,34 @@
+"""Identifiers. Each is its own type so that they can't be mixed up."""
+
+import typing
+
+InstanceId = typing.NewType('InstanceId', str)
+Incarnation = typing.NewType('Incarnation', int)
+FailureDomain = typing.NewType('FailureDomain', str)
+ClubName = typing.NewType('ClubName', str)
+TargetName = typing.NewType('TargetName', str)
+ServiceName = typing.NewType('ServiceName', str)
+TrainerName = typing.NewType('TrainerName', str)
+ModelName = typing.NewType('ModelName', str)
+# "host:port" of a replica; unique within a federation.
+ReplicaAddress = typing.NewType('ReplicaAddress', str)
+Version = typing.NewType('Version', int)
+# Offset in the configuration stream of the accepted edit; -1 before the
+# first one.
+Revision = typing.NewType('Revision', int)
+Offset = typing.NewType('Offset', int)
+FencingToken = typing.NewType('FencingToken', int)
+StepNumber = typing.NewType('StepNumber', int)
+GroupId = typing.NewType('GroupId', str)
+SampleId = typing.NewType('SampleId', str)
+RequestId = typing.NewType('RequestId', str)
+GrantId = typing.NewType('GrantId', str)
+
+NO_REVISION = Revision(-1)
+
+
+def make_sample_id(
+    trainer: TrainerName, step: StepNumber, group: GroupId, index: int
+) -> SampleId:
+    """Builds the id that a sample keeps over all of its attempts."""
+    return SampleId(f'{trainer}/{step}/{group}/{index}')
--- /dev/null
+++ b/src/lentildeal/_internal/models/outcomes.py
@@ -0,0 +1,37 @@
+"""What can be said of a request that got no whole answer."""
+
+import enum
+
+
+class Outcome(str, enum.Enum):
+    """Whether the work of a failed request ran."""
+
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+    RAN_AND_FAILED = 'ran_and_failed'
+
+
+class WorkClass(str, enum.Enum):
+    """Class of work in a replica's queue."""
+
+    LIVE = 'live'
+    ROLLOUT = 'rollout'
+
+
+class Cause(str, enum.Enum):
+    """Why a request waits, is refused or is late."""
+
+    CLUB_SHARE = 'club_share'
+    TARGET_FULL = 'target_full'
+    TARGET_DOWN = 'target_down'
+    TARGET_SWAPPING = 'target_swapping'
+    DEADLINE = 'deadline'
+    SCORING = 'scoring'
+    STRAGGLER = 'straggler'
+    STALE = 'stale'
+    OWNER_UNREACHABLE = 'owner_unreachable'
+    NO_WORK = 'no_work'
+    NO_CONFIGURATION = 'no_configuration'
+    LOG_DOWN = 'log_down'
+    LEAVING = 'leaving'
+    REPEATED_KEY = 'repeated_key'
--- /dev/null
+++ b/src/lentildeal/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP and peer connections."""
--- /dev/null
+++ b/src/lentildeal/_internal/network/wire.py
@@ -0,0 +1,122 @@
+"""Messages between daemons: frozen dataclasses in msgpack frames.
+
+A frame is the msgpack array ``[kind, request id, type, fields]``. Fields that
+the receiver doesn't know are dropped and absent ones take their defaults, so
+that two releases can talk during a rolling restart.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+import msgpack
+
+from lentildeal._internal import exceptions
+
+T = typing.TypeVar('T')
+
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+_RECORD_CODE = 1
+
+_types: dict[str, type] = {}
+_names: dict[type, str] = {}
+
+
+class FrameKind(enum.IntEnum):
+    """What the receiver does with a frame."""
+
+    CALL = 0
+    REPLY = 1
+    ERROR = 2
+    NOTICE = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Frame:
+    """One frame; ``message`` is None for a call that returns nothing."""
+
+    kind: FrameKind
+    request: int
+    message: typing.Any
+
+
+def message(name: str) -> typing.Callable[[type[T]], type[T]]:
+    """Registers a frozen dataclass under a name on the wire.
+
+    Nested dataclasses of a message are registered in the same way.
+    """
+
+    def register(cls: type[T]) -> type[T]:
+        if name in _types:
+            raise ValueError(f'message {name} is registered twice')
+        _types[name] = cls
+        _names[cls] = name
+        return cls
+
+    return register
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Encodes a frame.
+
+    Raises:
+        exceptions.WireError: The message holds a value of no known type.
+    """
+    body = [int(frame.kind), frame.request, frame.message]
+    try:
+        return msgpack.packb(body, default=_encode_value)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise exceptions.WireError(f'frame not encodable: {error}') from error
+
+
+def make_unpacker() -> msgpack.Unpacker:
+    """Makes the incremental decoder of one connection."""
+    return msgpack.Unpacker(
+        ext_hook=_decode_record,
+        max_buffer_size=MAX_FRAME_BYTES,
+        strict_map_key=False,
+        use_list=False,
+    )
+
+
+def to_frame(body: typing.Any) -> Frame:
+    """Checks a decoded msgpack value.
+
+    Raises:
+        exceptions.WireError: The value is no frame.
+    """
+    try:
+        kind, request, content = body
+        return Frame(FrameKind(kind), int(request), content)
+    except (TypeError, ValueError) as error:
+        raise exceptions.WireError(f'not a frame: {error}') from error
+
+
+def _encode_value(value: typing.Any) -> msgpack.ExtType:
+    name = _names.get(type(value))
+    if name is None:
+        raise TypeError(f'{type(value).__name__} is no registered message')
+    fields = {
+        field.name: getattr(value, field.name)
+        for field in dataclasses.fields(value)
+    }
+    data = msgpack.packb([name, fields], default=_encode_value)
+    return msgpack.ExtType(_RECORD_CODE, data)
+
+
+def _decode_record(code: int, data: bytes) -> typing.Any:
+    if code != _RECORD_CODE:
+        raise exceptions.WireError(f'unknown extension {code}')
+    unpacker = make_unpacker()
+    unpacker.feed(data)
+    try:
+        name, fields = unpacker.unpack()
+        cls = _types[name]
+        known = {field.name for field in dataclasses.fields(cls)}
+        return cls(**{k: v for k, v in fields.items() if k in known})
+    except exceptions.WireError:
+        raise
+    except Exception as error:
+        raise exceptions.WireError(f'record not decodable: {error}') from error
--- /dev/null
+++ b/src/lentildeal/_internal/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Weight-version orders to replicas."""
--- /dev/null
+++ b/src/lentildeal/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for outside systems."""
--- /dev/null
+++ b/src/lentildeal/_internal/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Status and service-level reports."""
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of trainers and the workers that run samples."""
--- /dev/null
+++ b/src/lentildeal/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fair shares and choice of replicas."""
--- /dev/null
+++ b/src/lentildeal/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings file of the daemon."""
--- /dev/null
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -0,0 +1,184 @@
+"""Settings of one daemon: addresses, failure domain, platform, limits."""
+
+from __future__ import annotations
+
+import dataclasses
+import ipaddress
+import pathlib
+
+from lentildeal._internal.config import jsonc
+from lentildeal._internal.config import schema
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.utils import options
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """One platform service."""
+
+    url: str = options.option('Base URL, "http://ip:port".')
+    adapter: str = options.option('Registered protocol adapter.', 'http')
+    timeout_ms: int = options.option(
+        'Time limit of one call, in milliseconds.', 2000, minimum=1
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Where the platform's services are."""
+
+    log: Endpoint = options.option('Log service.')
+    instances: Endpoint = options.option('Instance list.')
+    weights: Endpoint = options.option('Weight store.')
+
+
+@dataclasses.dataclass(frozen=True)
+class Timing:
+    """Intervals and time limits, all in milliseconds."""
+
+    heartbeat_ms: int = options.option(
+        'Interval of heartbeats.', 500, minimum=10
+    )
+    suspect_ms: int = options.option(
+        'Silence after which a member is suspect.', 2000, minimum=20
+    )
+    dead_ms: int = options.option(
+        'Silence after which a member is dead.', 5000, minimum=40
+    )
+    leave_ms: int = options.option(
+        'Time between announcing a stop and refusing new work.',
+        2000,
+        minimum=0,
+        maximum=3000,
+    )
+    drain_ms: int = options.option(
+        'Longest wait for requests in flight at a planned stop.',
+        600_000,
+        minimum=0,
+    )
+    log_poll_ms: int = options.option(
+        'Longest wait of one read of the log.', 1000, minimum=10
+    )
+    instances_poll_ms: int = options.option(
+        'Interval of reading the instance list.', 2000, minimum=10
+    )
+    weights_poll_ms: int = options.option(
+        'Interval of asking the weight store for the latest version.',
+        5000,
+        minimum=10,
+    )
+    claim_interval_ms: int = options.option(
+        'Shortest time between two appends of idempotency claims.',
+        0,
+        minimum=0,
+    )
+    relay_batch_ms: int = options.option(
+        'Interval at which a stream is read after its first bytes.',
+        50,
+        minimum=0,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds on what one daemon takes on."""
+
+    request_bytes: int = options.option(
+        'Largest request body, in bytes.', 16 * 1024 * 1024, minimum=1024
+    )
+    connections: int = options.option(
+        'Most connections of callers at once.', 10_000, minimum=1
+    )
+    queue_length: int = options.option(
+        'Most requests that wait for one replica.', 1000, minimum=1
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Logging:
+    """Log output."""
+
+    level: str = options.option(
+        'Lowest level: "DEBUG", "INFO", "WARNING" or "ERROR".', 'INFO'
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """The settings file of a daemon."""
+
+    instance: ids.InstanceId = options.option('Unique name of the instance.')
+    failure_domain: ids.FailureDomain = options.option(
+        'Failure domain that the instance is in.'
+    )
+    http_address: str = options.option(
+        'Address "ip:port" for callers, trainers and operators.'
+    )
+    peer_address: str = options.option('Address "ip:port" for other daemons.')
+    platform: Platform = options.option("The platform's services.")
+    timing: Timing = options.option('Intervals.', factory=Timing)
+    limits: Limits = options.option('Bounds.', factory=Limits)
+    logging: Logging = options.option('Log output.', factory=Logging)
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises:
+        exceptions.SettingsError: The file is missing or has faults.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise exceptions.SettingsError(
+            f'settings file {path} is not readable: {error}'
+        ) from error
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str = 'settings') -> Settings:
+    """Decodes settings.
+
+    Raises:
+        exceptions.SettingsError: The text has faults.
+    """
+    try:
+        settings = schema.load(Settings, text)
+    except jsonc.TextFaultsError as error:
+        raise exceptions.SettingsError(f'{source}: {error}') from error
+    _check(settings, source)
+    return settings
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits "ip:port".
+
+    Raises:
+        ValueError: The address is no IP number with a port.
+    """
+    host, _, port = address.rpartition(':')
+    ipaddress.ip_address(host.strip('[]'))
+    number = int(port)
+    if not 0 <= number <= 65535:
+        raise ValueError(f'port {number} is out of range')
+    return host.strip('[]'), number
+
+
+def _check(settings: Settings, source: str) -> None:
+    for name in ('http_address', 'peer_address'):
+        address = getattr(settings, name)
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise exceptions.SettingsError(
+                f'{source}: {name}: {address!r} is not valid: {error}',
+                remedy='write an IP number and a port, as in "10.0.0.5:8000"',
+            ) from error
+    timing = settings.timing
+    if not timing.heartbeat_ms < timing.suspect_ms < timing.dead_ms:
+        raise exceptions.SettingsError(
+            f'{source}: timing: heartbeat_ms, suspect_ms and dead_ms must grow'
+            f' ({timing.heartbeat_ms}, {timing.suspect_ms}, {timing.dead_ms})',
+            remedy='keep several heartbeats within suspect_ms',
+        )
--- /dev/null
+++ b/src/lentildeal/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers by topic."""
--- /dev/null
+++ b/src/lentildeal/_internal/utils/clock.py
@@ -0,0 +1,25 @@
+"""Time of this instance. Clocks of two instances are never compared."""
+
+import time
+
+
+def monotonic_s() -> float:
+    """Seconds of the monotonic clock, for intervals and time limits."""
+    return time.monotonic()
+
+
+class Deadline:
+    """A point in time by which an answer is wanted."""
+
+    def __init__(self, remaining_s: float) -> None:
+        self._at_s = monotonic_s() + remaining_s
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds left, 0 after the deadline has passed."""
+        return max(0.0, self._at_s - monotonic_s())
+
+    @property
+    def has_passed(self) -> bool:
+        """Whether no time is left."""
+        return self.remaining_s <= 0.0
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, for tests and the demonstration."""
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the real programs."""
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Builders and helpers for tests."""
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,40 @@
+"""Settings of the daemon."""
+
+import pytest
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.settings import settings
+
+VALID = """{
+  // comment
+  "instance": "a1",
+  "failure_domain": "a",
+  "http_address": "127.0.0.1:0",
+  "peer_address": "127.0.0.1:0",
+  "platform": {
+    "log": {"url": "http://127.0.0.1:1"},
+    "instances": {"url": "http://127.0.0.1:1"},
+    "weights": {"url": "http://127.0.0.1:1"}
+  }
+}"""
+
+
+def test_valid_settings_are_read():
+    """A file with comments and only required keys is accepted."""
+    assert settings.parse(VALID).timing.heartbeat_ms == 500
+
+
+def test_unknown_key_names_line_and_nearest_key():
+    """A misspelt key is an error instead of a silent default."""
+    text = VALID.replace('"failure_domain"', '"failure_domian"')
+    with pytest.raises(exceptions.SettingsError) as info:
+        settings.parse(text)
+    assert 'line 4' in info.value.message
+    assert 'nearest key is "failure_domain"' in info.value.message
+
+
+def test_host_name_is_refused():
+    """Processes talk by IP number; a host name is refused at start."""
+    text = VALID.replace('127.0.0.1:0', 'localhost:0')
+    with pytest.raises(exceptions.SettingsError, match='localhost'):
+        settings.parse(text)
