--- a/src/lentildeal/_internal/platform/base.py
+++ b/src/lentildeal/_internal/platform/base.py
@@ -142,10 +142,18 @@
 
     @abc.abstractmethod
     def stream(
-        self, request: CompletionRequest, timeout_s: float
+        self,
+        request: CompletionRequest,
+        timeout_s: float,
+        batch_s: float = 0.05,
     ) -> typing.Iterator[TokenChunk]:
         """Generates; ends normally only after the engine's end marker.
 
+        Args:
+            request: What to generate.
+            timeout_s: Longest silence of the engine, in seconds.
+            batch_s: Pause between reads after the first, in seconds.
+
         Raises:
             exceptions.NotRunError: No byte left for the engine.
             exceptions.RanAndFailedError: The engine reported an error.
--- /dev/null
+++ b/src/lentildeal/_internal/platform/http_engine.py
@@ -0,0 +1,171 @@
+"""Model engine over HTTP with server-sent events."""
+
+from __future__ import annotations
+
+import http
+import json
+import typing
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.network import http_client
+from lentildeal._internal.network import sse
+from lentildeal._internal.platform import base
+
+CONTROL_TIMEOUT_S = 2.0
+
+
+@base.engines.register('http')
+class HttpEngine(base.Engine):
+    """One replica at "ip:port"."""
+
+    def __init__(self, address: ids.ReplicaAddress) -> None:
+        self._url = f'http://{address}'
+        self._client = http_client.HttpClient()
+
+    def stream(
+        self,
+        request: base.CompletionRequest,
+        timeout_s: float,
+        batch_s: float = 0.05,
+    ) -> typing.Iterator[base.TokenChunk]:
+        """See the base class."""
+        body = {
+            'request_id': request.request_id,
+            'prompt': request.prompt,
+            'max_tokens': request.max_tokens,
+            'stream': True,
+        }
+        answer = self._client.open(
+            'POST',
+            f'{self._url}/v1/completions',
+            timeout_s=timeout_s,
+            body=json.dumps(body).encode(),
+            headers={'Content-Type': 'application/json'},
+        )
+        if answer.status != http.HTTPStatus.OK:
+            raise exceptions.RanAndFailedError(
+                f'engine {self._url} answered {answer.status}',
+                status=answer.status,
+                body=answer.read(),
+            )
+        yield from _iter_chunks(answer, batch_s)
+
+    def cancel(self, request_id: ids.RequestId) -> None:
+        """See the base class."""
+        try:
+            self._call('POST', '/v1/cancel', {'request_id': request_id})
+        except exceptions.PlatformError:
+            # A lost cancel costs tokens only; the stream is closed as well.
+            return
+
+    def get_state(self) -> base.EngineState:
+        """See the base class."""
+        answer = self._call('GET', '/state')
+        try:
+            value = answer.read_json()
+            load = value.get('load', {})
+            return base.EngineState(
+                version=ids.Version(int(value['version'])),
+                fence=ids.FencingToken(int(value.get('fence', 0))),
+                swapping_to=value.get('swapping_to'),
+                running=int(load.get('running', 0)),
+                waiting=int(load.get('waiting', 0)),
+            )
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise exceptions.PlatformError(
+                f'{self._url}/state is not understood: {error}'
+            ) from error
+
+    def load_version(
+        self,
+        model: ids.ModelName,
+        version: ids.Version,
+        fence: ids.FencingToken,
+    ) -> None:
+        """See the base class."""
+        order = {
+            'order': 'load_version',
+            'model': model,
+            'version': version,
+            'fence': fence,
+        }
+        answer = self._call('POST', '/orders', order)
+        if answer.status == http.HTTPStatus.CONFLICT:
+            raise exceptions.FenceRejectedError(
+                f'{self._url} refused fencing token {fence}'
+            )
+        if answer.status >= http.HTTPStatus.BAD_REQUEST:
+            raise exceptions.PlatformError(
+                f'{self._url}/orders answered {answer.status}'
+            )
+
+    def _call(
+        self, method: str, path: str, value: typing.Optional[dict] = None
+    ) -> http_client.HttpAnswer:
+        try:
+            return self._client.request_json(
+                method,
+                f'{self._url}{path}',
+                value,
+                timeout_s=CONTROL_TIMEOUT_S,
+            )
+        except (
+            exceptions.NotRunError,
+            exceptions.MayHaveRunError,
+        ) as error:
+            raise exceptions.PlatformError(error.message) from error
+
+
+def _iter_chunks(
+    answer: http_client.StreamingAnswer, batch_s: float
+) -> typing.Iterator[base.TokenChunk]:
+    """Yields one chunk a batch and version, until the end marker."""
+    parser = sse.EventParser()
+    batches = answer.iter_batches(batch_s)
+    try:
+        for batch in batches:
+            events = parser.feed(batch)
+            is_done = sse.END_MARKER in events
+            yield from _merge(event for event in events if event[0] == '{')
+            if is_done:
+                return
+    finally:
+        batches.close()
+    raise exceptions.TruncatedAnswerError(
+        'the stream ended without its end marker'
+    )
+
+
+def _merge(events: typing.Iterable[str]) -> list[base.TokenChunk]:
+    """Joins events of one version, so that consumers see few chunks."""
+    merged: list[base.TokenChunk] = []
+    for event in events:
+        chunk = _to_chunk(event)
+        if merged and merged[-1].version == chunk.version:
+            last = merged.pop()
+            chunk = base.TokenChunk(
+                last.text + chunk.text,
+                last.token_count + chunk.token_count,
+                chunk.version,
+            )
+        merged.append(chunk)
+    return merged
+
+
+def _to_chunk(event: str) -> base.TokenChunk:
+    try:
+        value = json.loads(event)
+        if 'error' in value:
+            raise exceptions.MayHaveRunError(
+                f'the engine reported {value["error"]}'
+            )
+        return base.TokenChunk(
+            text=value['choices'][0].get('text', ''),
+            token_count=int(value.get('tokens', 0)),
+            version=ids.Version(int(value['version'])),
+        )
+    except (KeyError, IndexError, TypeError, ValueError) as error:
+        raise exceptions.MayHaveRunError(
+            f'an event of the engine is not understood: {error}'
+        ) from error
