--- a/src/lentildeal/_internal/config/jsonc.py
+++ b/src/lentildeal/_internal/config/jsonc.py
@@ -16,9 +16,11 @@
 
 Path = typing.Tuple[typing.Union[str, int], ...]
 
+# An unclosed comment or string ends with the text; if it were no token, the
+# scan would start again behind its first character and take quadratic time.
 _TOKEN = re.compile(
-    r'(?P<space>\s+|//[^\n]*|\#[^\n]*|/\*.*?\*/)'
-    r'|(?P<string>"(?:[^"\\]|\\.)*")'
+    r'(?P<space>\s+|//[^\n]*|\#[^\n]*|/\*.*?(?:\*/|\Z))'
+    r'|(?P<string>"(?:[^"\\]|\\.)*(?:"|\Z))'
     r'|(?P<mark>[{}\[\],:])'
     r'|(?P<word>[^\s{}\[\],:"/]+)',
     re.DOTALL,
@@ -91,7 +93,9 @@
         return result
 
     try:
-        value = jsonc.loads(text, object_pairs_hook=collect)
+        value = jsonc.loads(
+            text, object_pairs_hook=collect, parse_constant=_refuse_constant
+        )
     except json.JSONDecodeError as error:
         fault = Fault(
             '', error.lineno, f'not valid JSON: {error.msg}', 'correct it'
@@ -105,6 +109,10 @@
     return value
 
 
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is no JSON number')
+
+
 def find_lines(text: str) -> dict[Path, int]:
     """Maps the path of each value of a valid text to its line from 1."""
     lines: dict[Path, int] = {}
--- a/src/lentildeal/_internal/config/schema.py
+++ b/src/lentildeal/_internal/config/schema.py
@@ -6,6 +6,7 @@
 import difflib
 import enum
 import functools
+import math
 import types
 import typing
 
@@ -23,6 +24,11 @@
     type(None): 'null',
 }
 
+_SURROGATE_FAULT = (
+    'the string has half of a surrogate pair',
+    'write the character itself or both halves',
+)
+
 
 class Decoder:
     """Decodes one text and collects its faults."""
@@ -41,6 +47,11 @@
         """Faults found so far, in the order of the text."""
         return sorted(self._faults, key=lambda fault: fault.line)
 
+    @property
+    def has_faults(self) -> bool:
+        """Whether a fault was found."""
+        return bool(self._faults)
+
     def add_fault(self, path: jsonc.Path, problem: str, remedy: str) -> None:
         """Records a fault at a path or at its nearest known parent."""
         place = path
@@ -83,6 +94,8 @@
         for name, item in value.items():
             if not name:
                 self.add_fault(path, 'a name is empty', 'give it a name')
+            if not _is_unicode(name):
+                self.add_fault(path, *_SURROGATE_FAULT)
             result[name] = self.decode(inner, item, path + (name,))
         return result
 
@@ -149,9 +162,15 @@
     def _decode_scalar(self, kind, value, path):
         if kind is float and isinstance(value, int):
             if not isinstance(value, bool):
-                return float(value)
+                value = _to_float(value)
         if not self._is_type(value, kind, path):
             return None
+        if kind is float and not math.isfinite(value):
+            self.add_fault(path, 'number is too large', 'write a smaller one')
+            return None
+        if kind is str and not _is_unicode(value):
+            self.add_fault(path, *_SURROGATE_FAULT)
+            return None
         return value
 
     def _is_type(self, value, kind, path) -> bool:
@@ -185,6 +204,22 @@
     return result
 
 
+def _to_float(value: int) -> float:
+    try:
+        return float(value)
+    except OverflowError:
+        return math.inf
+
+
+def _is_unicode(value: str) -> bool:
+    """Whether a string can be encoded; an escaped half of a pair can't."""
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _describe(value: typing.Any) -> str:
     name = _TYPE_NAMES.get(type(value), 'a value')
     if isinstance(value, (str, int, float, bool)):
