--- a/src/lentildeal/_internal/config/fold.py
+++ b/src/lentildeal/_internal/config/fold.py
@@ -69,6 +69,7 @@
         )
         self._successors: dict[ids.Revision, str] = {}
         self._snapshot_needs = ids.Offset(-1)
+        self._oldest = ids.Offset(0)
 
     @property
     def effective(self) -> Effective:
@@ -90,6 +91,11 @@
         """Offset to read from."""
         return self._next_offset
 
+    @property
+    def oldest(self) -> ids.Offset:
+        """Oldest record that the log kept at the latest read."""
+        return self._oldest
+
     @property
     def has_gap(self) -> bool:
         """Whether edits can't be judged."""
@@ -111,6 +117,7 @@
 
     def fold(self, page: platform_base.LogPage) -> None:
         """Applies one page of the stream."""
+        self._oldest = max(self._oldest, page.oldest)
         self._note_gap(page.oldest)
         for record in page.records:
             if record.offset < self._next_offset:
--- a/src/lentildeal/_internal/config/reader.py
+++ b/src/lentildeal/_internal/config/reader.py
@@ -11,6 +11,7 @@
 
 from lentildeal._internal.config import fold as fold_module
 from lentildeal._internal.config import records
+from lentildeal._internal.config import snapshots
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
@@ -19,7 +20,6 @@
 from lentildeal._internal.platform import base as platform_base
 from lentildeal._internal.platform import http_log  # noqa: F401
 from lentildeal._internal.utils import backoff
-from lentildeal._internal.utils import clock
 
 FETCH_TIMEOUT_S = 1.0
 # Peers asked in one round; with more, 350 daemons that start during a log
@@ -104,10 +104,19 @@
         """Registers a function that runs after each new revision."""
         self._handlers.append(function)
 
+    def live_members(self) -> list[members.Member]:
+        """Members that are live, none without the membership plug-in."""
+        try:
+            return list(self._kernel.plugin('membership').live())
+        except KeyError:
+            return []
+
     def start(self) -> None:
         """Starts to follow the log and answers peers."""
         self._kernel.peers.handle(records.Fetch, self._answer_fetch)
         self._kernel.spawn('config.follow', self._follow)
+        writer = snapshots.SnapshotWriter(self._kernel, self)
+        self._kernel.spawn('config.snapshots', writer.run)
 
     def wait_progress(self, timeout_s: float) -> None:
         """Waits until a page has been folded or the time is over."""
@@ -158,13 +167,9 @@
                 self._adopt(state)
 
     def _choose_peers(self) -> list[members.Member]:
-        """Members that may know more, those with the highest revision first."""
-        try:
-            membership = self._kernel.plugin('membership')
-        except KeyError:
-            return []
+        """Members that may know more, highest revision first."""
         own = self._settings.instance
-        others = [m for m in membership.live() if m.instance != own]
+        others = [m for m in self.live_members() if m.instance != own]
         if self.text is not None and not self._fold.has_gap:
             others = [m for m in others if m.revision > self.revision]
         others.sort(key=lambda member: member.revision, reverse=True)
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -95,6 +95,24 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Snapshots:
+    """When the text in effect is written to the log again.
+
+    A record that is older than the log's retention is lost, so both values
+    have to stay well below what the log keeps.
+    """
+
+    records: int = options.option(
+        'Records after which a snapshot is appended.', 200, minimum=1
+    )
+    interval_ms: int = options.option(
+        'Time after which a snapshot is appended, in milliseconds.',
+        600_000,
+        minimum=100,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Logging:
     """Log output."""
@@ -119,6 +137,9 @@
     platform: Platform = options.option("The platform's services.")
     timing: Timing = options.option('Intervals.', factory=Timing)
     limits: Limits = options.option('Bounds.', factory=Limits)
+    snapshots: Snapshots = options.option(
+        'Snapshots of the text in effect.', factory=Snapshots
+    )
     logging: Logging = options.option('Log output.', factory=Logging)
 
 
