--- a/src/lentildeal/_internal/commands/__init__.py
+++ b/src/lentildeal/_internal/commands/__init__.py
@@ -1,1 +1,74 @@
-"""One module for each client command."""
+"""One module for each client command, and the registry of all.
+
+A module is imported only when its command is called.
+"""
+
+from __future__ import annotations
+
+import importlib
+import typing
+
+if typing.TYPE_CHECKING:
+    from lentildeal._internal.cli import base
+
+_PACKAGE = 'lentildeal._internal.commands'
+
+
+class Entry(typing.NamedTuple):
+    """Where a command is and what it does, in one line."""
+
+    module: str
+    class_name: str
+    summary: str
+
+
+COMMANDS: dict[str, Entry] = {
+    'config check': Entry(
+        'config_check', 'ConfigCheck', 'Check a text without publishing it.'
+    ),
+    'config diff': Entry(
+        'config_diff', 'ConfigDiff', 'Compare a text with the one in effect.'
+    ),
+    'config publish': Entry(
+        'config_publish', 'ConfigPublish', 'Publish a text.'
+    ),
+    'config show': Entry(
+        'config_show', 'ConfigShow', 'Print the text in effect.'
+    ),
+    'config history': Entry(
+        'config_history', 'ConfigHistory', 'List the edits kept in the log.'
+    ),
+    'status': Entry(
+        'status', 'ShowStatus', 'Show the state of a daemon or of all.'
+    ),
+    'drain': Entry('drain', 'Drain', 'Begin a planned stop of a daemon.'),
+    'report burn': Entry(
+        'report_burn', 'ReportBurn', 'Show how fast error budgets burn.'
+    ),
+}
+
+
+def find_name(arguments: list[str]) -> typing.Optional[str]:
+    """Finds the command that the first words of a command line name."""
+    for count in (2, 1):
+        name = ' '.join(arguments[:count])
+        if len(arguments) >= count and name in COMMANDS:
+            return name
+    return None
+
+
+def parse(name: str, arguments: list[str], program: str) -> base.Command:
+    """Imports a command and reads its options.
+
+    Exits with the status of a usage error if they are not valid.
+    """
+    import cappa
+
+    entry = COMMANDS[name]
+    module = importlib.import_module(f'{_PACKAGE}.{entry.module}')
+    cls = cappa.command(
+        getattr(module, entry.class_name),
+        name=f'{program} {name}',
+        help=entry.summary,
+    )
+    return cappa.parse(cls, argv=arguments, completion=False)
--- a/src/lentildeal/_internal/config/publish.py
+++ b/src/lentildeal/_internal/config/publish.py
@@ -308,4 +308,5 @@
         'failure_domain': member.failure_domain,
         'state': member.state.value,
         'revision': member.revision,
+        'http_address': member.http_address,
     }
