--- a/src/lentildeal/_internal/config/checks.py
+++ b/src/lentildeal/_internal/config/checks.py
@@ -290,7 +290,7 @@
 
 
 def _check_trainers(view: _View, decoder: schema.Decoder) -> None:
-    models = {t.model for t in view.targets.values() if t.model}
+    # A target that can't be decoded may serve any model.
     is_complete = len(view.targets) == len(view.names['targets']) and all(
         target.model != _FAULTY for target in view.targets.values()
     )
@@ -303,22 +303,36 @@
             trainer.club,
             view.names['clubs'],
         )
-        # A target that can't be decoded may serve any model.
         if is_complete:
-            _check_trainer_model(view, decoder, path, trainer.model, models)
+            _check_trainer_model(view, decoder, path, trainer.model)
         if trainer.scoring:
             _check_scoring(view, decoder, path, trainer.scoring)
 
 
-def _check_trainer_model(view, decoder, path, model: str, models) -> None:
-    if model in view.targets and model not in models:
-        decoder.add_fault(
-            path + ('model',),
-            f'"{model}" is a target, not a model',
-            f'use {_quote(models)}' if models else 'define an engine target',
+def _check_trainer_model(
+    view: _View, decoder: schema.Decoder, path: jsonc.Path, model: str
+) -> None:
+    place = path + ('model',)
+    service = text_module.TargetKind.SERVICE
+    models, wrong = {}, {}
+    for name, target in view.targets.items():
+        if target.model:
+            served = wrong if target.kind is service else models
+            served[target.model] = name
+    if model in models:
+        return
+    if model in wrong:
+        problem = (
+            f'model "{model}" is served by target "{wrong[model]}" of kind'
+            ' "service"'
         )
+        decoder.add_fault(place, problem, 'give the target kind "engine"')
+        return
+    if model in view.targets:
+        remedy = f'use {_quote(models)}' if models else 'define one'
+        decoder.add_fault(place, f'"{model}" is a target, not a model', remedy)
         return
-    _check_reference(decoder, path + ('model',), 'model', model, models)
+    _check_reference(decoder, place, 'model', model, models)
 
 
 def _check_scoring(view, decoder, path, scoring: str) -> None:
