--- /dev/null
+++ b/standins/common.py
@@ -0,0 +1,276 @@
+"""HTTP serving, faults and journal that all stand-ins share."""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import logging
+import os
+import random
+import socket
+import time
+import typing
+import urllib.parse
+
+import eventlet
+import eventlet.wsgi
+
+JSON_TYPE = 'application/json'
+# A stand-in whose launcher was killed ends by itself after this time.
+LIFETIME_S = 900.0
+
+_REASONS = {
+    200: 'OK',
+    202: 'Accepted',
+    400: 'Bad Request',
+    404: 'Not Found',
+    409: 'Conflict',
+    429: 'Too Many Requests',
+    500: 'Internal Server Error',
+    503: 'Service Unavailable',
+}
+
+
+class BrokenConnectionError(Exception):
+    """Ends a request after its connection has been cut on purpose."""
+
+
+class RefusedError(Exception):
+    """Answers a request with an error status.
+
+    Attributes:
+        answer: What is sent.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        error: str,
+        headers: typing.Optional[dict[str, str]] = None,
+        **fields: typing.Any,
+    ) -> None:
+        super().__init__(error)
+        answer = json_answer({'error': error, **fields}, status)
+        answer.headers.update(headers or {})
+        self.answer = answer
+
+
+@dataclasses.dataclass
+class Request:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    socket: typing.Any
+
+    def read_json(self) -> dict:
+        """Decodes the body as a JSON object.
+
+        Raises:
+            RefusedError: It is something else.
+        """
+        try:
+            value = json.loads(self.body or b'{}')
+        except ValueError as error:
+            raise RefusedError(400, f'not JSON: {error}') from error
+        if not isinstance(value, dict):
+            raise RefusedError(400, 'not a JSON object')
+        return value
+
+    def break_connection(self) -> typing.NoReturn:
+        """Cuts the connection without an answer."""
+        self.cut()
+        raise BrokenConnectionError
+
+    def cut(self) -> None:
+        """Cuts the connection in both directions."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed its side of the connection."""
+        try:
+            data = self.socket.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return data == b''
+
+
+@dataclasses.dataclass
+class Answer:
+    """One HTTP answer; an iterator as body is sent in chunks."""
+
+    status: int = 200
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: typing.Union[bytes, typing.Iterator[bytes]] = b''
+
+
+def json_answer(value: typing.Any, status: int = 200) -> Answer:
+    """Makes an answer from a JSON value."""
+    body = json.dumps(value).encode()
+    return Answer(status, {'Content-Type': JSON_TYPE}, body)
+
+
+class Faults:
+    """Fault switches by name.
+
+    A switch tested with ``fires`` holds either an integer, the number of
+    requests that it still hits, or a fraction, the share that it hits.
+    """
+
+    def __init__(self, defaults: dict[str, float], seed: int) -> None:
+        self._values = dict(defaults)
+        self._random = random.Random(seed)
+
+    def __getitem__(self, name: str) -> float:
+        return self._values[name]
+
+    def set(self, changes: dict[str, typing.Any]) -> dict[str, float]:
+        """Changes switches and returns all of them.
+
+        Raises:
+            RefusedError: A name is unknown.
+        """
+        unknown = sorted(set(changes) - set(self._values))
+        if unknown:
+            known = sorted(self._values)
+            raise RefusedError(400, f'unknown {unknown}; known: {known}')
+        self._values.update(changes)
+        return dict(self._values)
+
+    def fires(self, name: str) -> bool:
+        """Whether the fault hits the request at hand."""
+        value = self._values[name]
+        if isinstance(value, float):
+            return self._random.random() < value
+        if value <= 0:
+            return False
+        self._values[name] = value - 1
+        return True
+
+
+class StandIn:
+    """Base of the stand-ins: serves ``handle`` and the common routes."""
+
+    # Switches of every stand-in: answer 503, never answer, answer late.
+    common_faults = {'down': False, 'hang': False, 'delay_ms': 0}
+    fault_defaults: typing.ClassVar[dict[str, float]] = {}
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        self.arguments = arguments
+        self.faults = Faults(
+            {**self.common_faults, **self.fault_defaults}, arguments.seed
+        )
+        self.faults.set(json.loads(arguments.faults))
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the arguments of the kind of stand-in."""
+
+    def start(self) -> None:
+        """Starts green threads before serving begins."""
+
+    def handle(self, request: Request) -> Answer:
+        """Answers a request that is none of the common ones."""
+        raise RefusedError(404, f'no {request.method} {request.path}')
+
+    def journal(self) -> dict:
+        """What truly happened here."""
+        return {}
+
+    def respond(self, request: Request) -> Answer:
+        """Answers any request, with the common routes and faults."""
+        if request.path == '/healthz':
+            return json_answer({})
+        if request.path == '/journal':
+            return json_answer(self.journal())
+        if request.path == '/faults' and request.method == 'POST':
+            return json_answer(self.faults.set(request.read_json()))
+        while self.faults['hang']:
+            eventlet.sleep(0.05)
+        if self.faults['delay_ms']:
+            eventlet.sleep(self.faults['delay_ms'] / 1000)
+        if self.faults['down']:
+            raise RefusedError(503, 'down')
+        return self.handle(request)
+
+
+def run(cls: type[StandIn]) -> None:
+    """Parses arguments and serves until the process is ended."""
+    eventlet.monkey_patch()
+    parser = argparse.ArgumentParser(description=cls.__doc__)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--faults', default='{}', help='JSON object')
+    parser.add_argument('--lifetime-s', type=float, default=LIFETIME_S)
+    cls.add_arguments(parser)
+    arguments = parser.parse_args()
+    stand_in = cls(arguments)
+    listener = eventlet.listen(('127.0.0.1', arguments.port), backlog=1024)
+    eventlet.spawn_after(arguments.lifetime_s, os._exit, 1)
+    stand_in.start()
+    print(listener.getsockname()[1], flush=True)
+    log = logging.getLogger('standins')
+    log.addHandler(logging.NullHandler())
+    log.propagate = False
+    eventlet.wsgi.server(
+        listener,
+        _make_application(stand_in),
+        log=log,
+        log_output=False,
+        # The default holds chunks back until there are 4,096 bytes.
+        minimum_chunk_size=1,
+        max_size=10_000,
+        debug=False,
+    )
+
+
+def now_s() -> float:
+    """Monotonic time, the same for all processes of the machine."""
+    return time.monotonic()
+
+
+def _make_application(stand_in: StandIn) -> typing.Callable:
+    def application(environ, start_response):
+        request = _read_request(environ)
+        try:
+            answer = stand_in.respond(request)
+        except RefusedError as error:
+            answer = error.answer
+        headers = dict(answer.headers)
+        body = answer.body
+        if isinstance(body, bytes):
+            headers.setdefault('Content-Length', str(len(body)))
+            body = [body]
+        reason = _REASONS.get(answer.status, 'Other')
+        start_response(f'{answer.status} {reason}', list(headers.items()))
+        return body
+
+    return application
+
+
+def _read_request(environ: dict) -> Request:
+    length = int(environ.get('CONTENT_LENGTH') or 0)
+    headers = {
+        name[5:].replace('_', '-').lower(): value
+        for name, value in environ.items()
+        if name.startswith('HTTP_')
+    }
+    return Request(
+        method=environ['REQUEST_METHOD'],
+        path=environ['PATH_INFO'],
+        query=dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', ''))),
+        headers=headers,
+        body=environ['wsgi.input'].read(length) if length else b'',
+        socket=environ['eventlet.input'].get_socket(),
+    )
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,334 @@
+"""Stand-in of a model engine replica."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import typing
+
+import eventlet
+
+from standins import common
+from standins import generation
+from standins import prefixes
+from standins import swaps
+
+EVENT_STREAM = 'text/event-stream'
+# How often a stream without new tokens looks whether its caller has gone.
+GONE_POLL_S = 0.1
+
+
+class Engine(common.StandIn):
+    """Model engine."""
+
+    # refuse: 503 before anything runs; truncate: the stream breaks after
+    # half of the answer; fail_loads: a version load fails partway;
+    # slow_factor: duration of all steps, as a multiple; stall: no tokens are
+    # generated, as with the common switch ``hang``.
+    fault_defaults = {
+        'refuse': 0,
+        'truncate': 0,
+        'fail_loads': 0,
+        'slow_factor': 1.0,
+        'stall': False,
+    }
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        super().__init__(arguments)
+        self._fence = 0
+        self._role = 'both'
+        self._adapters: list[str] = []
+        self._runs: list[generation.Generation] = []
+        self._by_id: dict[str, generation.Generation] = {}
+        self._orders: list[dict] = []
+        self._load = {'running': 0, 'waiting': 0}
+        self._load_s = common.now_s()
+        self._cache = prefixes.PrefixCache(
+            arguments.cache_prefixes,
+            arguments.cache_delay_ms / 1000,
+            arguments.cache_loss,
+            arguments.seed,
+        )
+        self._loader = swaps.Loader(
+            arguments.weights,
+            arguments.load_ms / 1000,
+            arguments.version,
+            lambda: self.faults.fires('fail_loads'),
+        )
+        speed = generation.Speed(
+            arguments.base_ms,
+            arguments.slope_ms,
+            arguments.prefill_ms,
+            arguments.batch_limit,
+        )
+        self._batch = generation.Batch(
+            speed,
+            self._cache,
+            lambda: self._loader.version,
+            lambda: self.faults['slow_factor'],
+            lambda: bool(self.faults['stall'] or self.faults['hang']),
+        )
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """See the base class."""
+        add = parser.add_argument
+        add('--weights', default='', help='URL of the weight store')
+        add('--version', type=int, default=0, help='first version')
+        add('--fencing', action='store_true', help='check fencing tokens')
+        add('--base-ms', type=float, default=8.0)
+        add('--slope-ms', type=float, default=0.5)
+        add('--prefill-ms', type=float, default=5.0)
+        add('--batch-limit', type=int, default=8)
+        add('--load-ms', type=float, default=300.0)
+        add('--load-lag-ms', type=float, default=500.0)
+        add('--grace-ms', type=float, default=300.0)
+        add('--median-tokens', type=float, default=24.0)
+        add('--sigma', type=float, default=0.0, help='spread of the length')
+        add('--cache-prefixes', type=int, default=32)
+        add('--cache-delay-ms', type=float, default=500.0)
+        add('--cache-loss', type=float, default=0.05)
+
+    def start(self) -> None:
+        """See the base class."""
+        eventlet.spawn_n(self._batch.run)
+        eventlet.spawn_n(self._report_load)
+
+    def handle(self, request: common.Request) -> common.Answer:
+        """See the base class."""
+        handlers = {
+            ('POST', '/v1/completions'): self._complete,
+            ('POST', '/v1/resume'): self._resume,
+            ('POST', '/v1/cancel'): self._cancel,
+            ('GET', '/state'): self._get_state,
+            ('POST', '/orders'): self._take_order,
+            ('GET', '/cache/events'): self._get_cache_events,
+            ('POST', '/kv/export'): self._export,
+            ('POST', '/kv/import'): self._import,
+        }
+        handler = handlers.get((request.method, request.path))
+        if handler is None:
+            return super().handle(request)
+        return handler(request)
+
+    def journal(self) -> dict:
+        """Every run with its true versions, every order and swap."""
+        return {
+            'runs': [
+                {
+                    'request_id': run.request_id,
+                    'prompt': run.prompt,
+                    'state': run.state,
+                    'segments': run.segments(),
+                    'text': run.text,
+                    'arrived_s': run.arrived_s,
+                    'admitted_s': run.admitted_s,
+                }
+                for run in self._runs
+            ],
+            'orders': self._orders,
+            'swaps': self._loader.swaps,
+            'version': self._loader.version,
+            'most_running': self._batch.most_running,
+            'cache': {
+                'hits': self._cache.hits,
+                'misses': self._cache.misses,
+            },
+        }
+
+    def _complete(self, request: common.Request) -> common.Answer:
+        if self.faults.fires('refuse'):
+            raise common.RefusedError(503, 'refused')
+        body = request.read_json()
+        request_id, prompt = str(body['request_id']), str(body['prompt'])
+        length = generation.choose_length(
+            prompt,
+            request_id,
+            self.arguments.median_tokens,
+            self.arguments.sigma,
+        )
+        run = generation.Generation(
+            request_id, prompt, int(body['max_tokens']), length
+        )
+        self._add(run)
+        return self._stream(request, run, 0)
+
+    def _resume(self, request: common.Request) -> common.Answer:
+        body = request.read_json()
+        run = self._find(body)
+        return self._stream(request, run, int(body['from_token']))
+
+    def _cancel(self, request: common.Request) -> common.Answer:
+        run = self._by_id.get(str(request.read_json().get('request_id')))
+        if run is not None:
+            run.end('cancelled')
+        return common.json_answer({})
+
+    def _get_state(self, request: common.Request) -> common.Answer:
+        age_ms = (common.now_s() - self._load_s) * 1000
+        return common.json_answer(
+            {
+                'version': self._loader.version,
+                'fence': self._fence,
+                'swapping_to': self._loader.swapping_to,
+                'role': self._role,
+                'adapters': self._adapters,
+                'load': {**self._load, 'age_ms': age_ms},
+            }
+        )
+
+    def _take_order(self, request: common.Request) -> common.Answer:
+        body = request.read_json()
+        kind, fence = body.get('order'), int(body.get('fence', 0))
+        entry = {**body, 'time_s': common.now_s(), 'taken': True}
+        self._orders.append(entry)
+        if self.arguments.fencing:
+            if fence < self._fence:
+                entry['taken'] = False
+                raise common.RefusedError(409, 'old', fence=self._fence)
+            self._fence = fence
+        if kind == 'load_version':
+            self._loader.order(str(body['model']), int(body['version']))
+        elif kind == 'load_adapter':
+            self._adapters.append(str(body['adapter']))
+        elif kind == 'set_role':
+            self._role = str(body['role'])
+        else:
+            raise common.RefusedError(400, f'unknown order {kind}')
+        return common.json_answer({}, 202)
+
+    def _get_cache_events(self, request: common.Request) -> common.Answer:
+        start = int(request.query.get('from', '0'))
+        return common.json_answer(self._cache.read_events(start))
+
+    def _export(self, request: common.Request) -> common.Answer:
+        run = self._find(request.read_json())
+        return common.json_answer(
+            {
+                'request_id': run.request_id,
+                'prompt': run.prompt,
+                'max_tokens': run.max_tokens,
+                'length': run.length,
+                'tokens': run.tokens,
+            }
+        )
+
+    def _import(self, request: common.Request) -> common.Answer:
+        body = request.read_json()
+        run = generation.Generation(
+            str(body['request_id']),
+            str(body['prompt']),
+            int(body['max_tokens']),
+            int(body['length']),
+        )
+        run.tokens = [(version, text) for version, text in body['tokens']]
+        self._cache.touch(run.prompt)
+        self._add(run)
+        eventlet.spawn_n(self._end_after_grace, run, run.stream_number)
+        return common.json_answer({})
+
+    def _add(self, run: generation.Generation) -> None:
+        self._runs.append(run)
+        self._by_id[run.request_id] = run
+        self._batch.submit(run)
+
+    def _find(self, body: dict) -> generation.Generation:
+        run = self._by_id.get(str(body.get('request_id')))
+        if run is None or run.state == 'cancelled':
+            raise common.RefusedError(404, 'unknown request')
+        return run
+
+    def _stream(
+        self, request: common.Request, run: generation.Generation, start: int
+    ) -> common.Answer:
+        run.stream_number += 1
+        run.notify()
+        events = self._iter_events(request, run, start, run.stream_number)
+        return common.Answer(200, {'Content-Type': EVENT_STREAM}, events)
+
+    def _iter_events(
+        self,
+        request: common.Request,
+        run: generation.Generation,
+        sent: int,
+        number: int,
+    ) -> typing.Iterator[bytes]:
+        breaks_at = run.length // 2 if self.faults.fires('truncate') else None
+        is_whole = False
+        # The head leaves with the first bytes; a comment sends it at once.
+        yield b': accepted\n\n'
+        try:
+            while run.stream_number == number:
+                is_over = run.is_over
+                fresh = run.tokens[sent:breaks_at]
+                if fresh:
+                    yield _format_tokens(fresh)
+                    sent += len(fresh)
+                if sent == breaks_at:
+                    run.end('cancelled')
+                    request.cut()
+                    return
+                if is_over and sent >= len(run.tokens):
+                    is_whole = run.state == 'finished'
+                    yield _format_end(run, is_whole)
+                    return
+                if sent >= len(run.tokens):
+                    run.wait(GONE_POLL_S)
+                if request.is_caller_gone():
+                    return
+        finally:
+            if not is_whole:
+                eventlet.spawn_n(self._end_after_grace, run, number)
+
+    def _end_after_grace(
+        self, run: generation.Generation, number: int
+    ) -> None:
+        """Cancels a run that nobody has resumed in time."""
+        eventlet.sleep(self.arguments.grace_ms / 1000)
+        if run.stream_number == number:
+            run.end('cancelled')
+
+    def _report_load(self) -> None:
+        while True:
+            self._load = {
+                'running': self._batch.running,
+                'waiting': self._batch.waiting,
+            }
+            self._load_s = common.now_s()
+            eventlet.sleep(self.arguments.load_lag_ms / 1000)
+
+
+def _format_tokens(tokens: list[tuple[int, str]]) -> bytes:
+    """One event for each run of tokens of one version."""
+    events = []
+    start = 0
+    for end in range(1, len(tokens) + 1):
+        if end < len(tokens) and tokens[end][0] == tokens[start][0]:
+            continue
+        text = ''.join(text for _, text in tokens[start:end])
+        events.append(_format_event(tokens[start][0], text, end - start, None))
+        start = end
+    return b''.join(events)
+
+
+def _format_event(
+    version: int, text: str, count: int, reason: typing.Optional[str]
+) -> bytes:
+    event = {
+        'choices': [{'text': text, 'finish_reason': reason}],
+        'version': version,
+        'tokens': count,
+    }
+    return f'data: {json.dumps(event)}\n\n'.encode()
+
+
+def _format_end(run: generation.Generation, is_whole: bool) -> bytes:
+    if not is_whole:
+        return b'data: {"error": "cancelled"}\n\n'
+    version = run.tokens[-1][0]
+    last = _format_event(version, '', 0, run.finish_reason)
+    return last + b'data: [DONE]\n\n'
+
+
+if __name__ == '__main__':
+    common.run(Engine)
--- /dev/null
+++ b/standins/log.py
@@ -0,0 +1,143 @@
+"""Stand-in of the log service: append-only streams with offsets."""
+
+from __future__ import annotations
+
+import argparse
+import collections
+
+import eventlet
+
+from standins import common
+
+MAX_RECORDS = 1000
+WAIT_POLL_S = 0.01
+
+
+class Stream:
+    """Records of one stream, of which the newest are kept."""
+
+    def __init__(self, retention: int) -> None:
+        self._records: collections.deque[dict] = collections.deque(
+            maxlen=retention or None
+        )
+        self._next = 0
+
+    @property
+    def next(self) -> int:
+        """Offset of the next append."""
+        return self._next
+
+    @property
+    def oldest(self) -> int:
+        """Offset of the oldest record that is kept."""
+        return self._next - len(self._records)
+
+    def append(self, body: dict) -> int:
+        """Adds a record and returns its offset."""
+        offset = self._next
+        self._records.append({'offset': offset, 'body': body})
+        self._next += 1
+        return offset
+
+    def read(self, start: int) -> list[dict]:
+        """Records from an offset on."""
+        skipped = max(0, start - self.oldest)
+        records = list(self._records)[skipped : skipped + MAX_RECORDS]
+        return records
+
+
+class Log(common.StandIn):
+    """Log service."""
+
+    # lose_answers: the append takes effect and the connection breaks;
+    # refuse_appends: 503 without effect; garble_answers: an answer without
+    # an offset after the append took effect.
+    fault_defaults = {
+        'lose_answers': 0,
+        'refuse_appends': 0,
+        'garble_answers': 0,
+    }
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        super().__init__(arguments)
+        self._streams: dict[str, Stream] = {}
+        self._appends: list[dict] = []
+        self._second = 0
+        self._in_second = 0
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """See the base class."""
+        parser.add_argument(
+            '--retention', type=int, default=0, help='records kept; 0: all'
+        )
+        parser.add_argument(
+            '--appends-per-s', type=int, default=0, help='limit; 0: none'
+        )
+
+    def handle(self, request: common.Request) -> common.Answer:
+        """See the base class."""
+        parts = request.path.strip('/').split('/')
+        if len(parts) != 2 or parts[0] != 'streams':
+            return super().handle(request)
+        if request.method == 'POST':
+            return self._append(request, parts[1])
+        return self._read(request, parts[1])
+
+    def journal(self) -> dict:
+        """Appends in order, with what the caller was told."""
+        return {'appends': self._appends}
+
+    def _append(self, request: common.Request, name: str) -> common.Answer:
+        body = request.read_json()
+        if self.faults.fires('refuse_appends') or self._is_over_rate():
+            raise common.RefusedError(503, 'append refused')
+        offset = self._stream(name).append(body)
+        is_lost = self.faults.fires('lose_answers')
+        self._appends.append(
+            {
+                'stream': name,
+                'offset': offset,
+                'time_s': common.now_s(),
+                'answered': not is_lost,
+            }
+        )
+        if is_lost:
+            request.break_connection()
+        if self.faults.fires('garble_answers'):
+            return common.json_answer({'error': 'internal'}, 500)
+        return common.json_answer({'offset': offset})
+
+    def _read(self, request: common.Request, name: str) -> common.Answer:
+        start = int(request.query.get('from', '0'))
+        wait_s = int(request.query.get('wait_ms', '0')) / 1000
+        until_s = common.now_s() + wait_s
+        stream = self._stream(name)
+        while start >= stream.next and common.now_s() < until_s:
+            eventlet.sleep(WAIT_POLL_S)
+            if self.faults['down']:
+                raise common.RefusedError(503, 'down')
+        return common.json_answer(
+            {
+                'records': stream.read(start),
+                'oldest': stream.oldest,
+                'next': stream.next,
+            }
+        )
+
+    def _stream(self, name: str) -> Stream:
+        if name not in self._streams:
+            self._streams[name] = Stream(self.arguments.retention)
+        return self._streams[name]
+
+    def _is_over_rate(self) -> bool:
+        limit = self.arguments.appends_per_s
+        second = int(common.now_s())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        self._in_second += 1
+        return bool(limit) and self._in_second > limit
+
+
+if __name__ == '__main__':
+    common.run(Log)
--- /dev/null
+++ b/tests/functional/test_standins.py
@@ -0,0 +1,263 @@
+"""Stand-ins: where a wrong one would hide a fault of the product."""
+
+import http.client
+import json
+import time
+
+import pytest
+
+from standins import generation
+from standins import receipts
+from tests.lib import processes
+
+PROMPT = 'a prompt'
+
+
+@pytest.fixture(name='launcher')
+def make_launcher():
+    """Ends the processes of a test."""
+    with processes.Launcher() as launcher:
+        yield launcher
+
+
+def open_stream(engine, request_id, path='/v1/completions', **fields):
+    """Sends a request and returns connection and response."""
+    connection = http.client.HTTPConnection(
+        '127.0.0.1', engine.port, timeout=processes.WAIT_S
+    )
+    body = {
+        'request_id': request_id,
+        'prompt': PROMPT,
+        'max_tokens': 1000,
+        'stream': True,
+        **fields,
+    }
+    connection.request('POST', path, json.dumps(body))
+    return connection, connection.getresponse()
+
+
+def iter_events(response):
+    """Yields the data of server-sent events as text."""
+    while line := response.readline():
+        if line.startswith(b'data: '):
+            yield line[6:].strip().decode()
+
+
+def read_labels(events):
+    """Runs [version, tokens] and text that the events claim."""
+    runs, text = [], ''
+    for event in events:
+        if event == '[DONE]':
+            return runs, text
+        value = json.loads(event)
+        text += value['choices'][0]['text']
+        if value['tokens'] and runs and runs[-1][0] == value['version']:
+            runs[-1][1] += value['tokens']
+        elif value['tokens']:
+            runs.append([value['version'], value['tokens']])
+    return None, text
+
+
+def find_run(engine, request_id):
+    """Journal entry of a request."""
+    runs = engine.read_journal()['runs']
+    return next(run for run in runs if run['request_id'] == request_id)
+
+
+def order(engine, version, fence):
+    """Orders a version and returns the status."""
+    body = {'order': 'load_version', 'model': 'm', 'version': version}
+    return engine.call('POST', '/orders', {**body, 'fence': fence})[0]
+
+
+def test_lost_answer_keeps_the_record(launcher):
+    """A log that drops the record would hide a double append."""
+    log = launcher.start_stand_in('log', '--retention', 2)
+    log.set_faults(lose_answers=1)
+    with pytest.raises(OSError):
+        log.call('POST', '/streams/s', {'n': 0})
+    log.set_faults(refuse_appends=1)
+    assert log.call('POST', '/streams/s', {'n': 'refused'})[0] == 503
+    for number in (1, 2):
+        log.call('POST', '/streams/s', {'n': number})
+    page = log.call('GET', '/streams/s?from=0')[1]
+    assert page == {
+        'records': [
+            {'offset': 1, 'body': {'n': 1}},
+            {'offset': 2, 'body': {'n': 2}},
+        ],
+        'oldest': 1,
+        'next': 3,
+    }
+
+
+def test_swap_in_the_middle_of_a_stream_is_labelled(launcher):
+    """Tokens with the version of the request's start would hide P1."""
+    store = launcher.start_stand_in('weights')
+    store.call('PUT', '/models/m/versions/1')
+    engine = launcher.start_stand_in(
+        'engine', '--weights', store.url, '--load-ms', 20
+    )
+    connection, response = open_stream(engine, 'r')
+    events = iter_events(response)
+    first = next(events)
+    engine.set_faults(fail_loads=1, stall=True)
+    assert order(engine, 1, 0) == 202
+    processes.wait_for(
+        lambda: engine.read_journal()['swaps'][0].get('result'), 'failure'
+    )
+    assert engine.call('GET', '/state')[1]['version'] == 0
+    assert order(engine, 1, 0) == 202
+    processes.wait_for(
+        lambda: engine.call('GET', '/state')[1]['version'] == 1, 'the swap'
+    )
+    engine.set_faults(stall=False)
+    labels, text = read_labels([first, *events])
+    connection.close()
+    assert [version for version, _ in labels] == [0, 1]
+    run = find_run(engine, 'r')
+    assert run['segments'] == labels == generation.read_segments(text)
+    assert run['state'] == 'finished'
+
+
+@pytest.mark.parametrize('fencing', [True, False])
+def test_only_a_fencing_engine_refuses_an_older_token(launcher, fencing):
+    """An engine that is kinder than real ones would hide late orders."""
+    arguments = ['--fencing'] if fencing else []
+    engine = launcher.start_stand_in('engine', '--load-ms', 1, *arguments)
+    assert order(engine, 2, 7) == 202
+    assert order(engine, 1, 6) == (409 if fencing else 202)
+    version = 2 if fencing else 1
+    processes.wait_for(
+        lambda: engine.call('GET', '/state')[1]['version'] == version,
+        'the version ordered last',
+    )
+
+
+def test_closed_stream_is_cancelled_unless_resumed(launcher):
+    """An engine that runs on would hide work that nobody cancels."""
+    engine = launcher.start_stand_in('engine', '--grace-ms', 500)
+    for request_id in ('left', 'resumed'):
+        connection, response = open_stream(engine, request_id)
+        next(iter_events(response))
+        # The response holds the socket as well.
+        response.close()
+        connection.close()
+    connection, response = open_stream(
+        engine, 'resumed', '/v1/resume', from_token=0
+    )
+    labels, text = read_labels(iter_events(response))
+    run = find_run(engine, 'resumed')
+    assert (run['segments'], run['text']) == (labels, text)
+    processes.wait_for(
+        lambda: find_run(engine, 'left')['state'] != 'running', 'the end'
+    )
+
+
+def test_truncated_stream_has_no_end_marker(launcher):
+    """A marker after half an answer would hide P4."""
+    engine = launcher.start_stand_in('engine')
+    engine.set_faults(truncate=1)
+    try:
+        _, response = open_stream(engine, 'r')
+        labels, _ = read_labels(iter_events(response))
+    except (OSError, http.client.HTTPException):
+        labels = None
+    assert labels is None
+    assert find_run(engine, 'r')['state'] == 'cancelled'
+
+
+def test_admission_is_first_in_first_out_up_to_the_limit(launcher):
+    """Unlimited batches would hide that nobody queues in front."""
+    engine = launcher.start_stand_in('engine', '--batch-limit', 2)
+    streams = [open_stream(engine, f'r{n}') for n in range(5)]
+    for _, response in streams:
+        assert read_labels(iter_events(response))[0]
+    journal = engine.read_journal()
+    assert journal['most_running'] == 2
+    admitted = [run['admitted_s'] for run in journal['runs']]
+    assert admitted == sorted(admitted)
+
+
+def test_service_journal_holds_true_runs_only(launcher):
+    """A journal of received calls would hide P5 and P6."""
+    service = launcher.start_stand_in('service')
+    for fault in ('break_before', 'break_after', 'truncate'):
+        service.set_faults(**{fault: 1})
+        with pytest.raises((OSError, http.client.HTTPException)):
+            service.call('POST', '/x', {'call': fault}, idempotency_key='k')
+    calls = service.read_journal()['calls']
+    assert [(c['call'], c['key'], c['answered']) for c in calls] == [
+        ('break_after', 'k', 'broken'),
+        ('truncate', 'k', 'truncated'),
+    ]
+
+
+def test_weight_store_refuses_over_its_rate(launcher):
+    """A store without a limit would hide a rush of all replicas."""
+    store = launcher.start_stand_in('weights', '--versions-per-s', 0.001)
+    store.call('PUT', '/models/m/versions/1')
+    answers = [store.call('GET', '/models/m/versions/1') for _ in range(2)]
+    assert [status for status, _ in answers] == [200, 429]
+
+
+def test_instance_list_lags(launcher):
+    """A list without a lag would hide members that it names too late."""
+    instances = launcher.start_stand_in('instances', '--lag-ms', 300)
+    instances.call('PUT', '/instances/a1', {'failure_domain': 'a'})
+    started_s = time.monotonic()
+    processes.wait_for(
+        lambda: instances.call('GET', '/instances')[1]['instances'], 'a1'
+    )
+    changed_s = instances.read_journal()['changes'][0]
+    assert time.monotonic() - min(started_s, changed_s) >= 0.3
+
+
+def make_sample(versions, labels=None):
+    """Sample event body with one token for each version."""
+    text = ''.join(
+        generation.make_token(PROMPT, 'r', number, version)
+        for number, version in enumerate(versions)
+    )
+    labels = labels or versions
+    segments = [
+        {'version': version, 'start': number, 'end': number + 1}
+        for number, version in enumerate(labels)
+    ]
+    return {
+        'id': 't/1/g/0',
+        'text': text,
+        'token_count': len(versions),
+        'segments': segments,
+    }
+
+
+@pytest.mark.parametrize(
+    ('sample', 'current', 'fault'),
+    [
+        (make_sample([1, 2]), 2, None),
+        (make_sample([1, 2]), 3, 'over_stale'),
+        (make_sample([1, 2], [2, 1]), 2, 'mislabelled'),
+        ({**make_sample([1]), 'token_count': 2}, 1, 'mislabelled'),
+    ],
+)
+def test_judge_of_samples_finds_each_fault(sample, current, fault):
+    """A judge that passes everything would hide P1 and P2."""
+    judged = receipts.Receipts(bound=1)
+    judged.add(sample, current, {sample['id']}, set())
+    summary = judged.summarize()
+    for name in ('mislabelled', 'over_stale', 'duplicates', 'foreign'):
+        assert bool(summary[name]) == (name == fault)
+
+
+def test_judge_of_samples_finds_duplicates_and_gaps():
+    """A judge that counts only events would hide P3."""
+    judged = receipts.Receipts(bound=1)
+    held = set()
+    expected = {'t/1/g/0', 't/1/g/1'}
+    for _ in range(2):
+        judged.add(make_sample([1]), 1, expected, held)
+    judged.end_step(expected, held)
+    summary = judged.summarize()
+    assert summary['duplicates'] == ['t/1/g/0']
+    assert summary['missing'] == ['t/1/g/1']
