Send chunks of a streamed answer at once

eventlet's WSGI server joins chunks until they have 4,096 bytes. The head and the first tokens of a stream, and all events of a trainer's step, waited for that. The server now sends every chunk that a handler yields.

tests/functional/test_http_server.py times out without the change and passes with it.

--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -128,6 +128,8 @@
             self._socket,
             self._serve,
             log_output=False,
+            # The default holds chunks back until there are 4,096 bytes.
+            minimum_chunk_size=1,
             max_size=self._settings.limits.connections,
             socket_timeout=KEEPALIVE_S,
             debug=False,
