--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -8,9 +8,11 @@
 
 from standins import generation
 from standins import receipts
+from tests.lib import fake_coordinator
 from tests.lib import processes
 
 PROMPT = 'a prompt'
+ID = 't/1/g/0'
 
 
 @pytest.fixture(name='launcher')
@@ -213,32 +215,17 @@
     assert time.monotonic() - min(started_s, changed_s) >= 0.3
 
 
-def make_sample(versions, labels=None):
-    """Sample event body with one token for each version."""
-    text = ''.join(
-        generation.make_token(PROMPT, 'r', number, version)
-        for number, version in enumerate(versions)
-    )
-    labels = labels or versions
-    segments = [
-        {'version': version, 'start': number, 'end': number + 1}
-        for number, version in enumerate(labels)
-    ]
-    return {
-        'id': 't/1/g/0',
-        'text': text,
-        'token_count': len(versions),
-        'segments': segments,
-    }
-
-
 @pytest.mark.parametrize(
     ('sample', 'current', 'fault'),
     [
-        (make_sample([1, 2]), 2, None),
-        (make_sample([1, 2]), 3, 'over_stale'),
-        (make_sample([1, 2], [2, 1]), 2, 'mislabelled'),
-        ({**make_sample([1]), 'token_count': 2}, 1, 'mislabelled'),
+        (fake_coordinator.make_sample(ID, [1, 2]), 2, None),
+        (fake_coordinator.make_sample(ID, [1, 2]), 3, 'over_stale'),
+        (fake_coordinator.make_sample(ID, [1, 2], [2, 1]), 2, 'mislabelled'),
+        (
+            {**fake_coordinator.make_sample(ID, [1]), 'token_count': 2},
+            1,
+            'mislabelled',
+        ),
     ],
 )
 def test_judge_of_samples_finds_each_fault(sample, current, fault):
@@ -254,10 +241,62 @@
     """A judge that counts only events would hide P3."""
     judged = receipts.Receipts(bound=1)
     held = set()
-    expected = {'t/1/g/0', 't/1/g/1'}
+    expected = {ID, 't/1/g/1'}
     for _ in range(2):
-        judged.add(make_sample([1]), 1, expected, held)
+        judged.add(fake_coordinator.make_sample(ID, [1]), 1, expected, held)
     judged.end_step(expected, held)
     summary = judged.summarize()
-    assert summary['duplicates'] == ['t/1/g/0']
+    assert summary['duplicates'] == [ID]
     assert summary['missing'] == ['t/1/g/1']
+
+
+def test_trainer_attaches_again_and_counts_what_comes_twice(launcher):
+    """A trainer that forgets what it holds would hide P3."""
+    words = ['tests.lib.fake_coordinator']
+    fakes = [
+        launcher.add(processes.Process(f'fake{n}', words, launcher.directory))
+        for n in range(2)
+    ]
+    for fake in fakes:
+        fake.set_faults(break_streams=1)
+    store = launcher.start_stand_in('weights')
+    trainer = launcher.start_stand_in(
+        'trainer',
+        *('--name', 't', '--model', 'm', '--weights', store.url),
+        *('--daemons', ','.join(fake.address for fake in fakes)),
+        *('--steps', 2, '--groups', 2, '--group-size', 3, '--train-ms', 1),
+        '--wait-for-start',
+    )
+    trainer.call('POST', '/start')
+    processes.wait_for(
+        lambda: trainer.read_journal()['state'] == 'done', 'both steps'
+    )
+    journal = trainer.read_journal()
+    counts = [journal[k] for k in ('asked', 'delivered', 'attachments')]
+    assert counts == [12, 12, 4]
+    assert journal['duplicates'] == journal['missing'] == []
+    opened = [
+        call['body']
+        for fake in fakes
+        for call in fake.read_journal()['calls']
+        if call['path'] == '/v1/trainers/t/steps/1'
+    ]
+    opened.sort(key=lambda body: body['attachment'])
+    assert [len(body['received']) for body in opened] == [0, 2, 4]
+
+
+def test_trainer_counts_samples_sent_again(launcher):
+    """A trainer that drops what it holds already would hide P3."""
+    words = ['tests.lib.fake_coordinator']
+    fake = launcher.add(processes.Process('fake', words, launcher.directory))
+    fake.set_faults(break_streams=1, forget=2)
+    store = launcher.start_stand_in('weights')
+    trainer = launcher.start_stand_in(
+        'trainer',
+        *('--name', 't', '--model', 'm', '--weights', store.url),
+        *('--daemons', fake.address, '--steps', 1),
+    )
+    processes.wait_for(
+        lambda: trainer.read_journal()['state'] == 'done', 'the step'
+    )
+    assert len(trainer.read_journal()['duplicates']) == 2
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -236,7 +236,7 @@
         name = name or f'{kind}{len(self._processes)}'
         words = [f'standins.{kind}', '--port', str(port)]
         words.extend(str(argument) for argument in arguments)
-        return self._add(Process(name, words, self.directory))
+        return self.add(Process(name, words, self.directory))
 
     def start_daemon(
         self,
@@ -246,13 +246,14 @@
         **overrides: typing.Any,
     ) -> Daemon:
         """Starts a daemon; overrides are sections of its settings."""
-        return self._add(
+        return self.add(
             Daemon(
                 instance, failure_domain, platform, self.directory, overrides
             )
         )
 
-    def _add(self, process: typing.Any) -> typing.Any:
+    def add(self, process: typing.Any) -> typing.Any:
+        """Takes over a process and ends it with the others."""
         self._processes.append(process)
         return process
 
