Add the demonstration and its judge

make demo shows two federations of real processes with live callers, two trainers each, weights that arrive in the middle of a step, one daemon killed and one drained. It counts from the journals of stand-ins and callers, never from the daemons' word, and fails on a broken promise.

--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""Demonstration of a whole federation."""
+"""Demonstration: two federations of real processes with faults."""
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -19,6 +19,28 @@
 ERRORS = (OSError, http.client.HTTPException)
 
 
+class Opened(typing.NamedTuple):
+    """A call whose answer has begun."""
+
+    address: str
+    connection: http.client.HTTPConnection
+    response: http.client.HTTPResponse
+
+
+class CallError(Exception):
+    """A call got no answer.
+
+    Attributes:
+        address: Daemon that was called.
+        is_sent: Whether a connection had been made.
+    """
+
+    def __init__(self, address: str, is_sent: bool, reason: str) -> None:
+        super().__init__(f'{address}: {reason}')
+        self.address = address
+        self.is_sent = is_sent
+
+
 class Balancer:
     """Daemons in turn, without those that lately refused connections."""
 
@@ -27,6 +49,15 @@
         self._turn = 0
         self._avoid_until_s: dict[str, float] = {}
 
+    @property
+    def addresses(self) -> list[str]:
+        """All daemons."""
+        return list(self._addresses)
+
+    def set_leaving(self, address: str) -> None:
+        """Sends no more calls to a daemon, as the platform does."""
+        self._avoid_until_s[address] = float('inf')
+
     def next_address(self) -> str:
         """Address of the daemon whose turn it is."""
         for _ in self._addresses:
@@ -37,13 +68,17 @@
         return self._addresses[self._turn]
 
     def open(
-        self, method: str, path: str, value: typing.Any, silence_s: float
-    ) -> tuple[http.client.HTTPConnection, http.client.HTTPResponse]:
+        self,
+        method: str,
+        path: str,
+        value: typing.Any,
+        silence_s: float,
+        headers: typing.Optional[dict[str, str]] = None,
+    ) -> Opened:
         """Calls the next daemon and returns after the response's head.
 
         Raises:
-            OSError: No connection or no head.
-            http.client.HTTPException: The head is not valid.
+            CallError: No connection or no head.
         """
         address = self.next_address()
         host, _, port = address.rpartition(':')
@@ -52,29 +87,31 @@
         )
         try:
             connection.connect()
-        except OSError:
+        except OSError as error:
             self._avoid_until_s[address] = common.now_s() + AVOID_S
-            raise
+            raise CallError(address, False, repr(error)) from error
         connection.sock.settimeout(silence_s)
-        connection.request(
-            method,
-            path,
-            json.dumps(value).encode(),
-            {'Content-Type': common.JSON_TYPE},
-        )
-        return connection, connection.getresponse()
+        try:
+            connection.request(
+                method,
+                path,
+                json.dumps(value).encode(),
+                {'Content-Type': common.JSON_TYPE, **(headers or {})},
+            )
+            return Opened(address, connection, connection.getresponse())
+        except ERRORS as error:
+            connection.close()
+            raise CallError(address, True, repr(error)) from error
 
     def call(self, method: str, path: str, value: typing.Any) -> int:
         """Calls the next daemon; returns the status, or 0 without one."""
         try:
-            connection, response = self.open(
-                method, path, value, CALL_TIMEOUT_S
-            )
-            response.read()
-            connection.close()
-            return response.status
-        except ERRORS:
+            opened = self.open(method, path, value, CALL_TIMEOUT_S)
+            opened.response.read()
+        except (CallError, *ERRORS):
             return 0
+        opened.connection.close()
+        return opened.response.status
 
     def call_until_taken(
         self, method: str, path: str, value: typing.Any, attempts: int
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -21,7 +21,19 @@
 
 
 class BrokenStreamError(Exception):
-    """A stream ended without its end event."""
+    """A stream ended without its end event.
+
+    Attributes:
+        address: Daemon that it came from, or an empty string.
+        is_cut: Whether the answer had begun with success.
+    """
+
+    def __init__(
+        self, reason: str, address: str = '', is_cut: bool = False
+    ) -> None:
+        super().__init__(reason)
+        self.address = address
+        self.is_cut = is_cut
 
 
 class Trainer(common.StandIn):
@@ -34,7 +46,8 @@
         self._receipts = receipts.Receipts(arguments.bound)
         self._published = arguments.first_version
         self._attachment = 0
-        self._breaks: list[str] = []
+        self._breaks: list[dict] = []
+        self._attached = ''
         self._untrained = 0
         self._trained = 0
         self._idle_s = 0.0
@@ -102,6 +115,7 @@
             'steps': self._steps,
             'steps_trained': self._trained,
             'attachments': self._attachment,
+            'attached': self._attached,
             'breaks': self._breaks,
             'publishes': self._publishes,
             'version': self._published,
@@ -150,7 +164,15 @@
                 self._receipts.end_step(expected, held)
                 return
             except BrokenStreamError as error:
-                self._breaks.append(f'step {step}: {error}')
+                self._breaks.append(
+                    {
+                        'step': step,
+                        'time_s': common.now_s(),
+                        'address': error.address,
+                        'is_cut': error.is_cut,
+                        'reason': str(error),
+                    }
+                )
                 eventlet.sleep(balancer.RETRY_S)
         raise BrokenStreamError(f'no end after {ATTEMPTS} attempts')
 
@@ -194,26 +216,31 @@
         path = f'/v1/trainers/{self.arguments.name}/steps/{step}'
         self._cursor = 0
         try:
-            connection, response = self._balancer.open(
+            opened = self._balancer.open(
                 'POST', path, body, self.arguments.silence_s
             )
-        except balancer.ERRORS as error:
-            raise BrokenStreamError(f'no stream: {error!r}') from error
+        except balancer.CallError as error:
+            raise BrokenStreamError(str(error), error.address) from error
+        if opened.response.status != 200:
+            raise _make_refusal(opened)
+        self._attached = opened.address
         acks = eventlet.spawn(self._send_acks, step)
         try:
-            if response.status != 200:
-                text = response.read().decode('utf-8', 'replace')
-                raise BrokenStreamError(f'{response.status}: {text[:300]}')
-            while line := response.readline():
+            while line := opened.response.readline():
                 if not line.endswith(b'\n'):
                     break
                 yield json.loads(line)
         except (*balancer.ERRORS, ValueError) as error:
-            raise BrokenStreamError(f'broke: {error!r}') from error
+            raise BrokenStreamError(
+                repr(error), opened.address, is_cut=True
+            ) from error
         finally:
             acks.kill()
-            connection.close()
-        raise BrokenStreamError('ended without end event')
+            opened.connection.close()
+            self._attached = ''
+        raise BrokenStreamError(
+            'ended without end event', opened.address, is_cut=True
+        )
 
     def _send_acks(self, step: int) -> None:
         """Acknowledges what has been received, through the balancer."""
@@ -256,27 +283,44 @@
 
     def _publish(self) -> None:
         """Puts the next version into the store and announces it."""
-        version = self._published + 1
+        version = max(self._published, self._get_latest()) + 1
         self._published = version
-        arguments = self.arguments
-        url = f'{arguments.weights}/models/{arguments.model}/versions'
         entry = {'version': version, 'time_s': common.now_s()}
         self._publishes.append(entry)
         for _ in range(ATTEMPTS):
-            try:
-                answer = self._pool.request(
-                    'PUT', f'{url}/{version}', timeout=STORE_TIMEOUT_S
-                )
-                if answer.status == 200:
-                    break
-            except urllib3.exceptions.HTTPError:
-                pass
+            if self._call_store('PUT', f'versions/{version}') is not None:
+                break
             eventlet.sleep(balancer.RETRY_S)
-        path = f'/v1/trainers/{arguments.name}/versions'
+        path = f'/v1/trainers/{self.arguments.name}/versions'
         entry['announced'] = self._balancer.call_until_taken(
             'POST', path, {'version': version}, ATTEMPTS
         )
 
+    def _get_latest(self) -> int:
+        """Latest version of the model, which others may train too."""
+        answer = self._call_store('GET', 'latest')
+        return 0 if answer is None else answer['version']
+
+    def _call_store(self, method: str, path: str) -> typing.Optional[dict]:
+        arguments = self.arguments
+        url = f'{arguments.weights}/models/{arguments.model}/{path}'
+        try:
+            answer = self._pool.request(method, url, timeout=STORE_TIMEOUT_S)
+        except urllib3.exceptions.HTTPError:
+            return None
+        return answer.json() if answer.status == 200 else None
+
+
+def _make_refusal(opened: balancer.Opened) -> BrokenStreamError:
+    try:
+        text = opened.response.read().decode('utf-8', 'replace')
+    except balancer.ERRORS as error:
+        text = repr(error)
+    opened.connection.close()
+    return BrokenStreamError(
+        f'{opened.response.status}: {text[:300]}', opened.address
+    )
+
 
 def make_prompts(name: str, step: int, groups: int) -> list[dict]:
     """Prompts of a step, one a group."""
--- /dev/null
+++ b/tests/unit/test_demo_judge.py
@@ -0,0 +1,113 @@
+"""Judge of the demonstration: every promise has a case that it finds."""
+
+import dataclasses
+
+import pytest
+
+from demo import callers
+from demo import evidence
+from demo import judge
+
+KILLED = evidence.Stop('127.0.0.1:1', 'a1', 10.0, -9)
+DRAINED = evidence.Stop('127.0.0.1:2', 'b1', 20.0, 0)
+ALIVE = '127.0.0.1:3'
+
+
+def make_attempt(**changes):
+    """Attempt at a call that a plain service has answered."""
+    values = {
+        'call': 'c-0',
+        'service': 's',
+        'is_completion': False,
+        'key': None,
+        'started_s': 5.0,
+        'address': ALIVE,
+        'result': 'whole',
+        'answer': {'call': 'c-0'},
+    }
+    return callers.Attempt(**{**values, **changes})
+
+
+def make_journal(**changes):
+    """Journal of a trainer with one sample."""
+    sample = {'id': 't/1/g/0', 'text': 'v1-a ', 'labels': [[1, 1]]}
+    journal = {
+        'name': 't',
+        'state': 'done',
+        'breaks': [],
+        'samples': [sample],
+    }
+    names = ('mislabelled', 'over_stale', 'duplicates', 'missing', 'foreign')
+    return {**journal, **dict.fromkeys(names, []), **changes}
+
+
+GOOD = evidence.Evidence(
+    services={'s': {'idempotent': False}},
+    trainers=[make_journal()],
+    runs=[
+        {
+            'prompt': 'p',
+            'text': 'v1-a ',
+            'segments': [[1, 1]],
+            'state': 'finished',
+        }
+    ],
+    calls=[{'call': 'c-0', 'key': None}],
+    attempts=[make_attempt()],
+    killed=KILLED,
+    drained=DRAINED,
+)
+CUT = {'result': 'cut_off', 'answer': None}
+WORDS = {'is_completion': True, 'answer': 'v1-a '}
+
+
+@pytest.mark.parametrize(
+    ('broken', 'changes'),
+    [
+        (None, {}),
+        (None, {'attempts': [make_attempt(address=KILLED.address, **CUT)]}),
+        ('P1', {'runs': []}),
+        ('P1', {'trainers': [make_journal(mislabelled=['x'])]}),
+        ('P2', {'trainers': [make_journal(over_stale=['x'])]}),
+        ('P3', {'trainers': [make_journal(duplicates=['x'])]}),
+        ('P3', {'trainers': [make_journal(missing=['x'])]}),
+        ('P3', {'trainers': [make_journal(state='running')]}),
+        ('P4', {'attempts': [make_attempt(answer={'call': 'c-1'})]}),
+        ('P4', {'attempts': [make_attempt(**CUT)]}),
+        ('P4', {'attempts': [make_attempt(**WORDS)]}),
+        ('P5', {'attempts': [make_attempt(result='not_run')]}),
+        ('P6', {'calls': GOOD.calls * 2}),
+        (
+            'P7',
+            {
+                'attempts': [
+                    make_attempt(address=DRAINED.address, started_s=23.5)
+                ]
+            },
+        ),
+        ('P8', {'attempts': [make_attempt(address=DRAINED.address, **CUT)]}),
+        ('P8', {'drained': dataclasses.replace(DRAINED, exit_status=1)}),
+        (
+            'P8',
+            {
+                'trainers': [
+                    make_journal(
+                        breaks=[
+                            {
+                                'address': DRAINED.address,
+                                'is_cut': True,
+                                'reason': 'x',
+                            }
+                        ]
+                    )
+                ]
+            },
+        ),
+    ],
+)
+def test_judge_finds_each_broken_promise_and_no_other(broken, changes):
+    """A judge that is blind to a promise would pass a demo that breaks it."""
+    found = judge.judge(dataclasses.replace(GOOD, **changes))
+    assert [name for name, cases in found.items() if cases] == (
+        [broken] if broken else []
+    )
