Judge attaches of trainers and add faults to the demonstration

P7 now covers trainers' steps. Plain services fail, break and truncate two calls in a hundred, and the first load of each engine fails partway.

--- a/demo/judge.py
+++ b/demo/judge.py
@@ -1,5 +1,7 @@
 """Judges promises P1 to P8 from journals; none is the daemons' own.
 
+The judge ``end`` finds trainers that did not get all of their steps.
+
 Every judge returns the broken cases as text, none if the promise held.
 """
 
@@ -59,8 +61,6 @@
         for fault in ('duplicates', 'missing', 'foreign'):
             for sample_id in journal[fault]:
                 yield f'{sample_id}: {fault}'
-        if journal['state'] != 'done':
-            yield f'{journal["name"]}: {journal["state"]}'
 
 
 @register('P4')
@@ -115,6 +115,11 @@
         is_taken = attempt.result not in ('not_run', 'not_sent')
         if is_there and is_taken and attempt.started_s > limit_s:
             yield f'{attempt.call}: {attempt.result} after the bound'
+    for journal in evidence.trainers:
+        for attach in journal['attaches']:
+            is_there = attach['address'] == evidence.drained.address
+            if is_there and attach['started_s'] > limit_s:
+                yield f'{journal["name"]}: step {attach["step"]} opened'
 
 
 @register('P8')
@@ -133,6 +138,15 @@
         yield f'{evidence.drained.instance}: exit status {status}'
 
 
+@register('end')
+def find_unfinished(evidence) -> typing.Iterator[str]:
+    """Trainers that did not get all of their steps in time."""
+    for journal in evidence.trainers:
+        if journal['state'] != 'done':
+            steps = len(journal['steps'])
+            yield f'{journal["name"]}: {journal["state"]}, {steps} steps'
+
+
 def _is_ended(evidence, address: str) -> bool:
     """Whether P8 judges it, or the daemon was killed."""
     return address in (evidence.killed.address, evidence.drained.address)
--- a/demo/report.py
+++ b/demo/report.py
@@ -46,7 +46,7 @@
                 len(journal['over_stale']),
                 journal['mixed_versions'],
                 f'{journal["idle_share"]:.0%}',
-                journal['attachments'],
+                len(journal['attaches']),
             )
         )
     print(
--- a/demo/worlds.py
+++ b/demo/worlds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import pathlib
 import re
 import typing
@@ -17,8 +18,18 @@
 ENGINE_ARGUMENTS = (
     *('--median-tokens', 30, '--sigma', 0.7),
     *('--base-ms', 8, '--slope-ms', 0.5, '--load-ms', 400),
+    # The first load of each engine fails partway.
+    *('--faults', json.dumps({'fail_loads': 1})),
 )
-SERVICE_ARGUMENTS = ('--service-ms', 10)
+# One call in fifty meets one of these faults.
+SERVICE_FAULTS = dict.fromkeys(
+    ('errors', 'break_before', 'break_after', 'truncate'), 0.005
+)
+SERVICE_ARGUMENTS = (
+    *('--service-ms', 10),
+    *('--faults', json.dumps(SERVICE_FAULTS)),
+)
+SCORING_ARGUMENTS = ('--service-ms', 10)
 # A loaded machine must not make the stand-ins of the platform look dead.
 TIMING = {'drain_ms': 20_000}
 
@@ -98,7 +109,7 @@
             group = self.engines
             kind, arguments = 'engine', self._make_engine_arguments(target)
         elif name in self._list_scoring_targets():
-            kind = 'scoring'
+            kind, arguments = 'scoring', SCORING_ARGUMENTS
         group[name] = []
         for domain, addresses in target['replicas'].items():
             for address in addresses:
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -48,6 +48,7 @@
         self._attachment = 0
         self._breaks: list[dict] = []
         self._attached = ''
+        self._attaches: list[dict] = []
         self._untrained = 0
         self._trained = 0
         self._idle_s = 0.0
@@ -114,7 +115,7 @@
             'state': self._state,
             'steps': self._steps,
             'steps_trained': self._trained,
-            'attachments': self._attachment,
+            'attaches': self._attaches,
             'attached': self._attached,
             'breaks': self._breaks,
             'publishes': self._publishes,
@@ -215,6 +216,7 @@
         }
         path = f'/v1/trainers/{self.arguments.name}/steps/{step}'
         self._cursor = 0
+        started_s = common.now_s()
         try:
             opened = self._balancer.open(
                 'POST', path, body, self.arguments.silence_s
@@ -224,6 +226,13 @@
         if opened.response.status != 200:
             raise _make_refusal(opened)
         self._attached = opened.address
+        self._attaches.append(
+            {
+                'step': step,
+                'address': opened.address,
+                'started_s': started_s,
+            }
+        )
         acks = eventlet.spawn(self._send_acks, step)
         try:
             while line := opened.response.readline():
--- a/tests/functional/test_standins.py
+++ b/tests/functional/test_standins.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins import generation
+from standins import prefixes
 from standins import receipts
 from tests.lib import fake_coordinator
 from tests.lib import processes
@@ -156,6 +157,22 @@
     )
 
 
+def test_exported_request_goes_on_at_another_engine(launcher):
+    """An import that starts over would hide lost tokens."""
+    engines = [launcher.start_stand_in('engine') for _ in range(2)]
+    connection, response = open_stream(engines[0], 'r')
+    next(iter_events(response))
+    engines[0].set_faults(stall=True)
+    state = engines[0].call('POST', '/kv/export', {'request_id': 'r'})[1]
+    response.close()
+    connection.close()
+    engines[1].call('POST', '/kv/import', state)
+    _, response = open_stream(engines[1], 'r', '/v1/resume', from_token=0)
+    labels, text = read_labels(iter_events(response))
+    assert text.startswith(''.join(text for _, text in state['tokens']))
+    assert labels == [[0, state['length']]]
+
+
 def test_truncated_stream_has_no_end_marker(launcher):
     """A marker after half an answer would hide P4."""
     engine = launcher.start_stand_in('engine')
@@ -195,6 +212,19 @@
     ]
 
 
+def test_cache_events_are_late_and_have_gaps():
+    """Prompt and whole events would hide a wrong belief about a cache."""
+    late = prefixes.PrefixCache(1, delay_s=60.0, loss_share=0.0, seed=1)
+    late.touch('a')
+    assert late.read_events(0) == {'events': [], 'next': 0}
+    gappy = prefixes.PrefixCache(1, delay_s=0.0, loss_share=0.5, seed=1)
+    for number in range(20):
+        gappy.touch(str(number))
+    numbers = [event['number'] for event in gappy.read_events(0)['events']]
+    assert 0 < len(numbers) < 39
+    assert numbers == sorted(numbers)
+
+
 def test_weight_store_refuses_over_its_rate(launcher):
     """A store without a limit would hide a rush of all replicas."""
     store = launcher.start_stand_in('weights', '--versions-per-s', 0.001)
@@ -272,8 +302,8 @@
         lambda: trainer.read_journal()['state'] == 'done', 'both steps'
     )
     journal = trainer.read_journal()
-    counts = [journal[k] for k in ('asked', 'delivered', 'attachments')]
-    assert counts == [12, 12, 4]
+    assert (journal['asked'], journal['delivered']) == (12, 12)
+    assert len(journal['attaches']) == 4
     assert journal['duplicates'] == journal['missing'] == []
     opened = [
         call['body']
--- a/tests/unit/test_demo_judge.py
+++ b/tests/unit/test_demo_judge.py
@@ -35,6 +35,8 @@
         'name': 't',
         'state': 'done',
         'breaks': [],
+        'attaches': [],
+        'steps': [],
         'samples': [sample],
     }
     names = ('mislabelled', 'over_stale', 'duplicates', 'missing', 'foreign')
@@ -71,7 +73,7 @@
         ('P2', {'trainers': [make_journal(over_stale=['x'])]}),
         ('P3', {'trainers': [make_journal(duplicates=['x'])]}),
         ('P3', {'trainers': [make_journal(missing=['x'])]}),
-        ('P3', {'trainers': [make_journal(state='running')]}),
+        ('end', {'trainers': [make_journal(state='running')]}),
         ('P4', {'attempts': [make_attempt(answer={'call': 'c-1'})]}),
         ('P4', {'attempts': [make_attempt(**CUT)]}),
         ('P4', {'attempts': [make_attempt(**WORDS)]}),
@@ -85,6 +87,22 @@
                 ]
             },
         ),
+        (
+            'P7',
+            {
+                'trainers': [
+                    make_journal(
+                        attaches=[
+                            {
+                                'step': 2,
+                                'address': DRAINED.address,
+                                'started_s': 23.5,
+                            }
+                        ]
+                    )
+                ]
+            },
+        ),
         ('P8', {'attempts': [make_attempt(address=DRAINED.address, **CUT)]}),
         ('P8', {'drained': dataclasses.replace(DRAINED, exit_status=1)}),
         (
