End daemons in the middle of a step in the demonstration

The daemon was chosen at a fixed time, at which the trainer was often training and attached to none, so that no step was broken off. The demonstration now waits until the trainer holds part of a step.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -29,7 +29,11 @@
 BALANCER_LAG_S = 1.0
 # A run that takes longer than this counts as failed.
 LIMIT_S = 32.0
-POLL_S = 0.2
+POLL_S = 0.05
+# Longest wait for a trainer that is in the middle of a step, and the samples
+# of the step that it must hold by then.
+CHOICE_S = 4.0
+MIN_HELD = 4
 
 
 def main() -> int:
@@ -116,11 +120,16 @@
 
 
 def _choose_daemon(world: worlds.World, trainer: str) -> processes.Daemon:
-    """Daemon that a trainer is attached to, or any that still runs."""
+    """Daemon that a trainer has a step half read from, or any other."""
     running = [d for d in world.daemons if d.exit_status is None]
-    address = world.trainers[trainer].read_journal()['attached']
-    attached = world.find_daemon(address)
-    return attached if attached in running else running[0]
+    until_s = common.now_s() + CHOICE_S
+    while common.now_s() < until_s:
+        state = world.trainers[trainer].call('GET', '/state')[1]
+        daemon = world.find_daemon(state['attached'])
+        if daemon in running and state['held'] >= MIN_HELD:
+            return daemon
+        time.sleep(POLL_S)
+    return running[0]
 
 
 def _sleep_until(time_s: float) -> None:
@@ -129,7 +138,8 @@
 
 def _wait_for_trainers(world: worlds.World, until_s: float) -> None:
     while common.now_s() < until_s:
-        states = [t.read_journal()['state'] for t in world.trainers.values()]
+        trainers = world.trainers.values()
+        states = [t.call('GET', '/state')[1]['state'] for t in trainers]
         if 'running' not in states:
             return
         time.sleep(POLL_S)
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -49,6 +49,7 @@
         self._breaks: list[dict] = []
         self._attached = ''
         self._attaches: list[dict] = []
+        self._held = 0
         self._untrained = 0
         self._trained = 0
         self._idle_s = 0.0
@@ -102,6 +103,8 @@
 
     def handle(self, request: common.Request) -> common.Answer:
         """See the base class."""
+        if request.path == '/state':
+            return common.json_answer(self._summarize_state())
         if (request.method, request.path) != ('POST', '/start'):
             return super().handle(request)
         self._begin()
@@ -116,7 +119,6 @@
             'steps': self._steps,
             'steps_trained': self._trained,
             'attaches': self._attaches,
-            'attached': self._attached,
             'breaks': self._breaks,
             'publishes': self._publishes,
             'version': self._published,
@@ -127,6 +129,14 @@
             'samples': self._receipts.samples,
         }
 
+    def _summarize_state(self) -> dict:
+        """Where the step at hand stands, without the long journal."""
+        return {
+            'state': self._state,
+            'attached': self._attached,
+            'held': self._held,
+        }
+
     def _begin(self) -> None:
         eventlet.spawn_n(self._collect_steps)
         eventlet.spawn_n(self._train_steps)
@@ -159,6 +169,7 @@
             for index in range(self.arguments.group_size)
         }
         held: set[str] = set()
+        self._held = 0
         for _ in range(ATTEMPTS):
             try:
                 self._read_stream(step, prompts, expected, held)
@@ -195,6 +206,7 @@
             if kind == 'sample':
                 self._receipts.add(event['sample'], current, expected, held)
                 self._cursor = event['cursor']
+                self._held = len(held)
                 self._publish_in_middle(len(held), len(expected))
             elif kind == 'version':
                 current = max(current, event['version'])
