Add membership by heartbeats and rendezvous owners

Routing, orders and rollouts need to know who is live and who owns a replica's queue. Members are judged by listening time, so a pause does not count as silence, and a paused daemon owns nothing until it has heard its neighbours again. Most heartbeats carry no content; changes are sent once per receiver and numbered.

The peer network redials members that fell silent, closes connections of an earlier incarnation, survives failed accepts and bounds dialling by the time limit of the call.

--- a/src/lentildeal/_internal/kernel/kernel.py
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -51,6 +51,7 @@
         self._state = KernelState.STARTING
         self._drain_requested = eventlet.event.Event()
         self._work_counters: list[typing.Callable[[], int]] = []
+        self._leaving_handlers: list[typing.Callable[[], None]] = []
 
     @property
     def state(self) -> KernelState:
@@ -66,6 +67,14 @@
         """Returns a plug-in by its registered name."""
         return self._plugins[name]
 
+    def find_plugin(self, name: str) -> typing.Any:
+        """Returns a plug-in, None if no such one is registered."""
+        return self._plugins.get(name)
+
+    def on_leaving(self, function: typing.Callable[[], None]) -> None:
+        """Registers what a planned stop does before all else."""
+        self._leaving_handlers.append(function)
+
     def count_work(self, function: typing.Callable[[], int]) -> None:
         """Registers a count of work that a planned stop waits for."""
         self._work_counters.append(function)
@@ -104,22 +113,31 @@
         """Announces the stop, then waits for the work in flight."""
         logger.info('draining')
         self._state = KernelState.DRAINING
-        for plugin in reversed(list(self._plugins.values())):
-            plugin.drain()
+        self.http_server.close_after_response()
+        for function in self._leaving_handlers:
+            self._attempt('leaving', function)
+        for name, plugin in reversed(list(self._plugins.items())):
+            self._attempt(name, plugin.drain)
         timing = self.settings.timing
         # Callers that the balancer still sends here are served until the
         # leave time is over.
         eventlet.sleep(timing.leave_ms / 1000)
-        self.http_server.stop()
+        # The listener stays open: a closed one would reset connections that
+        # the balancer opens late, without a truthful answer.
+        self.http_server.refuse_new()
         deadline = clock.Deadline(timing.drain_ms / 1000)
         while self._count_work() and not deadline.has_passed:
             eventlet.sleep(DRAIN_POLL_S)
+        # Requests that had arrived in a socket buffer when the last work
+        # ended are still answered.
+        eventlet.sleep(DRAIN_POLL_S)
+        self.http_server.stop()
 
     def stop(self) -> None:
         """Ends all plug-ins and connections."""
         self._state = KernelState.STOPPED
-        for plugin in reversed(list(self._plugins.values())):
-            plugin.stop()
+        for name, plugin in reversed(list(self._plugins.items())):
+            self._attempt(name, plugin.stop)
         self.peers.stop()
         logger.info('stopped with {} requests in flight', self._count_work())
 
@@ -127,6 +145,14 @@
         extra = sum(function() for function in self._work_counters)
         return self.http_server.in_flight + extra
 
+    def _attempt(self, name: str, function: typing.Callable) -> None:
+        """Runs a step of the stop; its failure must not end the others."""
+        try:
+            function()
+        except Exception as error:
+            _task_failures_total.labels(name).inc()
+            logger.opt(exception=error).error('{} failed at the stop', name)
+
     def _supervise(self, name, function, arguments) -> None:
         while self._state is not KernelState.STOPPED:
             try:
--- /dev/null
+++ b/src/lentildeal/_internal/membership/heartbeats.py
@@ -0,0 +1,220 @@
+"""Heartbeats: one green thread for each receiver, changes sent once.
+
+Most heartbeats are a `Beat` of about 40 bytes. What has changed since the
+last message to the same receiver goes into an `Update`. Both carry the
+number of updates sent; a receiver that misses one asks for all again.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import eventlet
+import eventlet.queue
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import members
+from lentildeal._internal.network import peers
+from lentildeal._internal.network import wire
+from lentildeal._internal.utils import backoff
+
+# Longest delay between two attempts to reach a silent member, in seconds.
+LONGEST_RETRY_S = 2.0
+
+_sent_total = prometheus_client.Counter(
+    'lentildeal_heartbeats_sent_total', 'Heartbeats sent.', ['kind']
+)
+_failed_total = prometheus_client.Counter(
+    'lentildeal_heartbeats_failed_total', 'Heartbeats that found no peer.'
+)
+
+# A member as it is sent: instance, incarnation, failure domain, HTTP and
+# peer address, state, revision, and attachments as (trainer, step, number,
+# version). A tuple, because field names would double the size of a roster.
+Row = tuple
+Versions = dict[ids.ModelName, ids.Version]
+
+
+@wire.message('member.heartbeat')
+@dataclasses.dataclass(frozen=True)
+class Beat:
+    """Nothing has changed since update ``number``."""
+
+    incarnation: ids.Incarnation
+    number: int
+
+
+@wire.message('member.update')
+@dataclasses.dataclass(frozen=True)
+class Update:
+    """What has changed since the update before.
+
+    Attributes:
+        incarnation: Of the sender.
+        number: Count of updates sent to this receiver, from 1.
+        is_full: Whether everything is in it, whatever was sent before.
+        rows: Members of the sender's domain, the sender included.
+        removed: Members that the sender has forgotten.
+        versions: Highest known weight version by model.
+    """
+
+    incarnation: ids.Incarnation
+    number: int
+    is_full: bool
+    rows: tuple[Row, ...]
+    removed: tuple[ids.InstanceId, ...] = ()
+    versions: Versions = dataclasses.field(default_factory=dict)
+
+
+@wire.message('member.resend')
+@dataclasses.dataclass(frozen=True)
+class Resend:
+    """The receiver has missed an update and wants everything again."""
+
+
+def pack_member(member: members.Member) -> Row:
+    """Makes the row of a member."""
+    attachments = tuple(
+        (a.trainer, a.step, a.number, a.version) for a in member.attachments
+    )
+    return (
+        member.instance,
+        member.incarnation,
+        member.failure_domain,
+        member.http_address,
+        member.peer_address,
+        member.state.value,
+        member.revision,
+        attachments,
+    )
+
+
+def unpack_member(row: Row) -> members.Member:
+    """Reads a row; columns added by a later release are dropped.
+
+    Raises:
+        exceptions.WireError: The row is not valid.
+    """
+    try:
+        head, attachments = row[:5], row[7]
+        return members.Member(
+            *head,
+            members.MemberState(row[5]),
+            row[6],
+            tuple(members.Attachment(*item[:4]) for item in attachments),
+        )
+    except (IndexError, TypeError, ValueError) as error:
+        raise exceptions.WireError(f'not a member row: {error}') from error
+
+
+class Content(typing.NamedTuple):
+    """What a receiver shall know; ``epoch`` grows with each change."""
+
+    epoch: int
+    rows: dict[ids.InstanceId, Row]
+    versions: Versions
+
+
+class Session:
+    """What one receiver was told so far."""
+
+    def __init__(self, incarnation: ids.Incarnation) -> None:
+        self._incarnation = incarnation
+        # Not set back by a reset: a receiver that missed the update after it
+        # must notice by the number.
+        self._number = 0
+        self.reset()
+
+    def reset(self) -> None:
+        """Forgets what was told, so that everything is sent again."""
+        self._is_full = True
+        self._epoch: typing.Optional[int] = None
+        self._rows: dict[ids.InstanceId, Row] = {}
+        self._versions: Versions = {}
+
+    def next_message(self, content: Content) -> typing.Union[Beat, Update]:
+        """Makes the next heartbeat and takes it as sent."""
+        if content.epoch == self._epoch:
+            return Beat(self._incarnation, self._number)
+        rows = tuple(
+            row
+            for instance, row in content.rows.items()
+            if self._rows.get(instance) != row
+        )
+        removed = tuple(self._rows.keys() - content.rows.keys())
+        versions = dict(content.versions.items() - self._versions.items())
+        self._epoch = content.epoch
+        is_full = self._is_full
+        if not (is_full or rows or removed or versions):
+            return Beat(self._incarnation, self._number)
+        self._rows = dict(content.rows)
+        self._versions = dict(content.versions)
+        self._is_full = False
+        self._number += 1
+        return Update(
+            self._incarnation, self._number, is_full, rows, removed, versions
+        )
+
+
+class Sender:
+    """Sends heartbeats to one receiver in a green thread of its own."""
+
+    def __init__(
+        self,
+        network: peers.PeerNetwork,
+        receiver: ids.InstanceId,
+        incarnation: ids.Incarnation,
+        interval_s: float,
+        content: typing.Callable[[], Content],
+        on_refused: typing.Callable[[ids.InstanceId], None],
+    ) -> None:
+        self.receiver = receiver
+        self.session = Session(incarnation)
+        self._network = network
+        self._interval_s = interval_s
+        self._content = content
+        self._on_refused = on_refused
+        self._kicks = eventlet.queue.LightQueue(1)
+        self._is_stopped = False
+        self._backoff = backoff.Backoff(interval_s, LONGEST_RETRY_S)
+
+    def start(self) -> None:
+        """Starts the green thread."""
+        eventlet.spawn_n(self._run)
+
+    def stop(self) -> None:
+        """Ends the green thread."""
+        self._is_stopped = True
+        self.kick()
+
+    def kick(self) -> None:
+        """Sends the next heartbeat at once."""
+        if self._kicks.empty():
+            self._kicks.put_nowait(None)
+
+    def _run(self) -> None:
+        while not self._is_stopped:
+            delay_s = self._send()
+            try:
+                self._kicks.get(timeout=delay_s)
+            except eventlet.queue.Empty:
+                pass
+
+    def _send(self) -> float:
+        """Sends one heartbeat; seconds until the next."""
+        try:
+            self._network.connect(self.receiver)
+            message = self.session.next_message(self._content())
+            self._network.notify(self.receiver, message)
+        except exceptions.PeerError as error:
+            _failed_total.inc()
+            self.session.reset()
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._on_refused(self.receiver)
+            return self._backoff.next_delay_s()
+        self._backoff.reset()
+        _sent_total.labels(type(message).__name__).inc()
+        return self._interval_s
--- /dev/null
+++ b/src/lentildeal/_internal/membership/plugin.py
@@ -0,0 +1,379 @@
+"""Plug-in ``membership``: heartbeats, live members, owners of replicas."""
+
+from __future__ import annotations
+
+import typing
+
+import eventlet
+from loguru import logger
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.membership import heartbeats
+from lentildeal._internal.membership import rendezvous
+from lentildeal._internal.membership import table as table_module
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import members
+from lentildeal._internal.platform import base
+from lentildeal._internal.platform import http_instances  # noqa: F401
+from lentildeal._internal.utils import clock
+
+State = members.MemberState
+
+_members_gauge = prometheus_client.Gauge(
+    'lentildeal_members', 'Members by state.', ['state']
+)
+_pauses_total = prometheus_client.Counter(
+    'lentildeal_pauses_total', 'Pauses of this process that it noticed.'
+)
+
+
+@plugins.register('membership')
+class Membership(plugins.Plugin):
+    """Which members are live, leaving or cut off, and who owns what."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        settings = kernel.settings
+        own = members.Member(
+            instance=settings.instance,
+            incarnation=kernel.incarnation,
+            failure_domain=settings.failure_domain,
+            http_address=settings.http_address,
+            peer_address=settings.peer_address,
+        )
+        self._own_domain = settings.failure_domain
+        self._interval_s = settings.timing.heartbeat_ms / 1000
+        self._table = table_module.MemberTable(own, settings.timing)
+        self._senders: dict[ids.InstanceId, heartbeats.Sender] = {}
+        self._silent: set[ids.InstanceId] = set()
+        self._received: dict[ids.InstanceId, tuple[int, int]] = {}
+        self._versions: heartbeats.Versions = {}
+        self._epoch = 0
+        self._contents: dict[bool, heartbeats.Content] = {}
+        self._owners: dict[tuple, typing.Optional[ids.InstanceId]] = {}
+        self._change_handlers: list[typing.Callable] = []
+        self._version_handlers: list[typing.Callable] = []
+
+    @property
+    def is_settled(self) -> bool:
+        """False at the start and after a pause, until neighbours are heard."""
+        return self._table.is_settled
+
+    def members(self) -> list[members.Member]:
+        """All known members, this one included."""
+        return self._table.members()
+
+    def live(self) -> list[members.Member]:
+        """Live members that are neither leaving nor cut off."""
+        return self._table.live()
+
+    def get(self, instance: ids.InstanceId) -> typing.Optional[members.Member]:
+        """One member, None if it is not known."""
+        return self._table.get(instance)
+
+    def cut_off_domains(self) -> frozenset[ids.FailureDomain]:
+        """Domains from which nothing is heard."""
+        return self._table.cut_off_domains
+
+    def owner_of(
+        self, domain: ids.FailureDomain, address: ids.ReplicaAddress
+    ) -> typing.Optional[ids.InstanceId]:
+        """Instance that owns the queue of a replica.
+
+        None if the replica's domain is cut off, or if this daemon would be
+        the owner and its own view is not fresh.
+        """
+        key = (domain, address)
+        if key not in self._owners:
+            candidates = self._table.owner_candidates(domain)
+            self._owners[key] = rendezvous.choose_owner(address, candidates)
+        owner = self._owners[key]
+        if owner == self._table.own.instance and not self.is_settled:
+            return None
+        return owner
+
+    def is_owner(
+        self, domain: ids.FailureDomain, address: ids.ReplicaAddress
+    ) -> bool:
+        """Whether this daemon owns the queue of a replica."""
+        return self.owner_of(domain, address) == self._table.own.instance
+
+    def on_change(self, function: typing.Callable[[], None]) -> None:
+        """Registers ``function()``, run after each change of the view."""
+        self._change_handlers.append(function)
+
+    def set_attachments(
+        self, attachments: tuple[members.Attachment, ...]
+    ) -> None:
+        """Tells everyone which trainers are attached here."""
+        self._set_own(attachments=tuple(attachments))
+
+    def attachments(
+        self,
+    ) -> dict[ids.TrainerName, tuple[ids.InstanceId, members.Attachment]]:
+        """Where each trainer is attached, by its highest number."""
+        result: dict = {}
+        for member in self._table.members():
+            if member.state is State.DEAD:
+                continue
+            for attachment in member.attachments:
+                known = result.get(attachment.trainer)
+                if known is None or known[1].number < attachment.number:
+                    result[attachment.trainer] = (member.instance, attachment)
+        return result
+
+    def announce_version(
+        self, model: ids.ModelName, version: ids.Version
+    ) -> None:
+        """Tells everyone of a model's new version."""
+        self._take_versions({model: version})
+
+    def versions(self) -> heartbeats.Versions:
+        """Highest version heard of each model."""
+        return dict(self._versions)
+
+    def on_version(
+        self, function: typing.Callable[[ids.ModelName, ids.Version], None]
+    ) -> None:
+        """Registers ``function(model, version)`` for higher versions."""
+        self._version_handlers.append(function)
+
+    def start(self) -> None:
+        """See the base class."""
+        network = self._kernel.peers
+        network.handle(heartbeats.Beat, self._on_beat)
+        network.handle(heartbeats.Update, self._on_update)
+        network.handle(heartbeats.Resend, self._on_resend)
+        network.on_disconnect(self._on_disconnect)
+        self._kernel.on_leaving(self._announce_leaving)
+        config = self._kernel.find_plugin('config')
+        if config is not None:
+            config.on_change(self._read_revision)
+        self._kernel.spawn('membership', self._run_ticks)
+        self._kernel.spawn('instances', self._read_instances)
+
+    def stop(self) -> None:
+        """See the base class."""
+        for sender in self._senders.values():
+            sender.stop()
+
+    def _announce_leaving(self) -> None:
+        self._set_own(state=State.LEAVING)
+        # Lets the senders run before anything else is stopped.
+        eventlet.sleep(0)
+
+    def _read_revision(self) -> None:
+        config = self._kernel.find_plugin('config')
+        if config is not None:
+            self._set_own(revision=config.revision)
+
+    def _set_own(self, **changes: typing.Any) -> None:
+        if not self._table.set_own(**changes):
+            return
+        self._publish()
+        if 'state' in changes:
+            self._tell_change()
+
+    def _run_ticks(self) -> None:
+        while True:
+            self._read_revision()
+            started_s = clock.monotonic_s()
+            pauses = self._table.pauses
+            if self._table.tick():
+                self._apply_change()
+            if self._table.pauses > pauses:
+                _pauses_total.inc()
+                logger.warning('this process was paused; owning nothing')
+            spent_s = clock.monotonic_s() - started_s
+            eventlet.sleep(max(0.0, self._interval_s - spent_s))
+
+    def _apply_change(self) -> None:
+        """Takes a new view into use after the table has changed."""
+        self._drop_silent()
+        self._update_senders()
+        self._publish()
+        self._tell_change()
+
+    def _drop_silent(self) -> None:
+        """Closes connections to members that have just fallen silent.
+
+        TCP would repeat its packets ever more rarely, up to every two
+        minutes; a new connection finds a healed network within seconds.
+        """
+        cut_off = self._table.cut_off_domains
+        silent = {
+            member.instance
+            for member in self._table.members()
+            if member.state is State.DEAD or member.failure_domain in cut_off
+        }
+        for instance in silent - self._silent:
+            self._kernel.peers.disconnect(instance)
+        self._silent = silent
+
+    def _tell_change(self) -> None:
+        self._owners.clear()
+        for state in State:
+            count = sum(m.state is state for m in self._table.members())
+            _members_gauge.labels(state.value).set(count)
+        for function in self._change_handlers:
+            function()
+
+    def _publish(self) -> None:
+        """Lets the senders compare what they have told with what holds."""
+        self._epoch += 1
+        self._contents.clear()
+        for sender in list(self._senders.values()):
+            sender.kick()
+
+    def _get_content(self, receiver: ids.InstanceId) -> heartbeats.Content:
+        contact = self._table.get(receiver)
+        is_neighbour = (
+            contact is not None and contact.failure_domain == self._own_domain
+        )
+        if is_neighbour not in self._contents:
+            self._contents[is_neighbour] = self._make_content(is_neighbour)
+        return self._contents[is_neighbour]
+
+    def _make_content(self, is_neighbour: bool) -> heartbeats.Content:
+        """Rows for a neighbour or for a daemon of another domain.
+
+        Neighbours hear each other directly; of the others in the domain
+        they need the addresses only.
+        """
+        rows = {}
+        own = self._table.own
+        for member in self._table.members():
+            if member.failure_domain != self._own_domain:
+                continue
+            if is_neighbour and member.instance != own.instance:
+                if member.state is State.DEAD:
+                    continue
+                member = members.Member(
+                    member.instance,
+                    member.incarnation,
+                    member.failure_domain,
+                    member.http_address,
+                    member.peer_address,
+                )
+            rows[member.instance] = heartbeats.pack_member(member)
+        return heartbeats.Content(self._epoch, rows, dict(self._versions))
+
+    def _update_senders(self) -> None:
+        wanted = self._choose_receivers()
+        for instance in self._senders.keys() - wanted.keys():
+            self._senders.pop(instance).stop()
+        for instance, address in wanted.items():
+            self._kernel.peers.set_address(instance, address)
+            if instance not in self._senders:
+                self._senders[instance] = self._make_sender(instance)
+                self._senders[instance].start()
+
+    def _make_sender(self, instance: ids.InstanceId) -> heartbeats.Sender:
+        return heartbeats.Sender(
+            self._kernel.peers,
+            instance,
+            self._kernel.incarnation,
+            self._interval_s,
+            lambda: self._get_content(instance),
+            self._on_refused,
+        )
+
+    def _choose_receivers(self) -> dict[ids.InstanceId, str]:
+        """Addresses of all to whom this daemon sends heartbeats."""
+        own = self._table.own.instance
+        neighbours = {
+            member.instance
+            for member in self._table.live()
+            if member.failure_domain == self._own_domain
+        }
+        neighbours.add(own)
+        result = {}
+        for contact in self._table.contacts():
+            if contact.failure_domain != self._own_domain:
+                senders = rendezvous.choose_senders(
+                    contact.instance, neighbours
+                )
+                if own not in senders:
+                    continue
+            result[contact.instance] = contact.peer_address
+        return result
+
+    def _on_beat(self, instance: ids.InstanceId, beat) -> None:
+        is_known = self._table.note_beat(instance, beat.incarnation)
+        expected = (beat.incarnation, beat.number)
+        if not is_known or self._received.get(instance) != expected:
+            self._ask_again(instance)
+        self._refresh_if_back(instance)
+
+    def _on_update(self, instance: ids.InstanceId, update) -> None:
+        before = (update.incarnation, update.number - 1)
+        if not update.is_full and self._received.get(instance) != before:
+            self._ask_again(instance)
+            return
+        self._received[instance] = (update.incarnation, update.number)
+        rows = [heartbeats.unpack_member(row) for row in update.rows]
+        for member in rows:
+            if member.instance == instance:
+                self._table.note_self(member)
+        self._table.note_beat(instance, update.incarnation)
+        self._table.note_roster(instance, rows, update.removed, update.is_full)
+        if self._table.refresh():
+            self._apply_change()
+        self._take_versions(update.versions)
+
+    def _ask_again(self, instance: ids.InstanceId) -> None:
+        eventlet.spawn_n(self._send_resend, instance)
+
+    def _send_resend(self, instance: ids.InstanceId) -> None:
+        try:
+            self._kernel.peers.notify(instance, heartbeats.Resend())
+        except exceptions.PeerError:
+            pass
+
+    def _on_resend(self, instance: ids.InstanceId, _) -> None:
+        sender = self._senders.get(instance)
+        if sender is not None:
+            sender.session.reset()
+            sender.kick()
+
+    def _on_disconnect(self, instance: ids.InstanceId, _) -> None:
+        self._on_resend(instance, None)
+
+    def _on_refused(self, instance: ids.InstanceId) -> None:
+        self._table.note_refused(instance)
+        if self._table.refresh():
+            self._apply_change()
+
+    def _refresh_if_back(self, instance: ids.InstanceId) -> None:
+        member = self._table.get(instance)
+        if member is None or member.state in (State.SUSPECT, State.DEAD):
+            if self._table.refresh():
+                self._apply_change()
+
+    def _take_versions(self, versions: heartbeats.Versions) -> None:
+        newer = {
+            model: version
+            for model, version in versions.items()
+            if version > self._versions.get(model, -1)
+        }
+        if not newer:
+            return
+        self._versions.update(newer)
+        self._publish()
+        for model, version in newer.items():
+            for function in self._version_handlers:
+                function(model, version)
+
+    def _read_instances(self) -> None:
+        endpoint = self._kernel.settings.platform.instances
+        adapter = base.instance_lists.make(endpoint.adapter, endpoint)
+        interval_s = self._kernel.settings.timing.instances_poll_ms / 1000
+        while True:
+            try:
+                self._table.note_listed(adapter.list_instances())
+                self._update_senders()
+            except exceptions.PlatformError as error:
+                logger.debug('instance list not read: {}', error)
+            eventlet.sleep(interval_s)
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.models import outcomes
 from lentildeal._internal.network import problems
 from lentildeal._internal.settings import settings as settings_module
 
@@ -72,6 +73,13 @@
 Handler = typing.Callable[[Request], Response]
 
 
+class _Route(typing.NamedTuple):
+    method: str
+    expression: re.Pattern
+    handler: Handler
+    while_leaving: bool
+
+
 def json_response(value: typing.Any, status: int = 200) -> Response:
     """Makes a response from a JSON value."""
     body = json.dumps(value).encode()
@@ -82,24 +90,41 @@
     """Handlers by method and path pattern such as ``/v1/steps/{step}``."""
 
     def __init__(self) -> None:
-        self._routes: list[tuple[str, re.Pattern, Handler]] = []
-
-    def add(self, method: str, pattern: str, handler: Handler) -> None:
-        """Adds a route; ``{name}`` is a segment, ``{name*}`` the rest."""
+        self._routes: list[_Route] = []
+
+    def add(
+        self,
+        method: str,
+        pattern: str,
+        handler: Handler,
+        *,
+        while_leaving: bool = False,
+    ) -> None:
+        """Adds a route; ``{name}`` is a segment, ``{name*}`` the rest.
+
+        Args:
+            method: Method, "*" for all.
+            pattern: Path with placeholders.
+            handler: Function that answers.
+            while_leaving: Whether it also answers at the end of a planned
+                stop, when new work is refused.
+        """
         expression = re.sub(r'\{(\w+)\*\}', r'(?P<\1>.*)', pattern)
         expression = re.sub(r'\{(\w+)\}', r'(?P<\1>[^/]+)', expression)
-        self._routes.append((method, re.compile(expression), handler))
+        self._routes.append(
+            _Route(method, re.compile(expression), handler, while_leaving)
+        )
 
-    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]]:
-        """Finds the handler of a request.
+    def find(self, method: str, path: str) -> tuple[_Route, dict[str, str]]:
+        """Finds the route of a request and its parameters.
 
         Raises:
             exceptions.UnknownRouteError: There is none.
         """
-        for known, expression, handler in self._routes:
-            match = expression.fullmatch(path)
-            if match and known in (method, '*'):
-                return handler, match.groupdict()
+        for route in self._routes:
+            match = route.expression.fullmatch(path)
+            if match and route.method in (method, '*'):
+                return route, match.groupdict()
         raise exceptions.UnknownRouteError(f'no route for {method} {path}')
 
 
@@ -112,11 +137,21 @@
         self._settings = settings
         self._router = router
         self._in_flight = 0
+        self._is_closing = False
+        self._is_refusing = False
         self._socket: typing.Optional[socket.socket] = None
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether each response ends its connection."""
+        return self._is_closing
+
     @property
     def in_flight(self) -> int:
-        """Requests whose answer is not yet written whole."""
+        """Requests whose first line has come and whose answer is not whole.
+
+        Control requests that are answered while leaving count too.
+        """
         return self._in_flight
 
     def start(self) -> None:
@@ -131,40 +166,61 @@
             max_size=self._settings.limits.connections,
             socket_timeout=KEEPALIVE_S,
             debug=False,
+            protocol=self._make_protocol,
         )
 
+    def close_after_response(self) -> None:
+        """Ends each connection with its next response.
+
+        The header ``Connection: close`` is the only way to end a connection
+        without a race against the caller's next request.
+        """
+        self._is_closing = True
+
+    def refuse_new(self) -> None:
+        """Answers new requests with 503 ``not_run``; those in flight go on."""
+        self._is_refusing = True
+
+    def count_started(self) -> None:
+        """Called when the first line of a request has come."""
+        self._in_flight += 1
+
+    def count_ended(self) -> None:
+        """Called when the answer has been written or the caller is gone."""
+        self._in_flight -= 1
+
     def stop(self) -> None:
-        """Closes the listener; open connections go on."""
+        """Closes the listener and idle connections."""
         if self._socket is not None:
             self._socket.close()
 
     def _serve(self, environ, start_response):
-        self._in_flight += 1
-        try:
-            response = self._respond(environ)
-            headers = dict(response.headers)
-            if isinstance(response.body, bytes):
-                headers['Content-Length'] = str(len(response.body))
-                body = [response.body]
-            else:
-                body = response.body
-            status = f'{response.status} {problems.reason(response.status)}'
-            start_response(status, list(headers.items()))
-        except BaseException:
-            self._in_flight -= 1
-            raise
-        return _Body(body, self._finish)
-
-    def _finish(self) -> None:
-        self._in_flight -= 1
+        response = self._respond(environ)
+        headers = dict(response.headers)
+        body = response.body
+        if isinstance(body, bytes):
+            headers['Content-Length'] = str(len(body))
+            body = [body]
+        status = f'{response.status} {problems.reason(response.status)}'
+        start_response(status, list(headers.items()))
+        return body
+
+    def _make_protocol(self, conn_state, server) -> _Protocol:
+        return _Protocol(self, conn_state, server)
 
     def _respond(self, environ) -> Response:
         try:
             request = self._read_request(environ)
-            handler, parameters = self._router.find(
-                request.method, request.path
+            route, parameters = self._router.find(request.method, request.path)
+            if self._is_refusing and not route.while_leaving:
+                raise exceptions.NotRunError(
+                    'this instance is leaving',
+                    cause=outcomes.Cause.LEAVING.value,
+                    remedy='send the request again; it goes elsewhere',
+                )
+            return route.handler(
+                dataclasses.replace(request, parameters=parameters)
             )
-            return handler(dataclasses.replace(request, parameters=parameters))
         except exceptions.LentildealError as error:
             return problems.to_response(error)
         except Exception as error:
@@ -201,26 +257,32 @@
         )
 
 
-class _Body:
-    """Iterates over a body and runs a function once at its end."""
-
-    def __init__(self, chunks, on_end: typing.Callable[[], None]) -> None:
-        self._chunks = chunks
-        self._iterator = iter(chunks)
-        self._on_end: typing.Optional[typing.Callable[[], None]] = on_end
+class _Protocol(eventlet.wsgi.HttpProtocol):
+    """Counts requests and ends connections while the daemon leaves."""
 
-    def __iter__(self):
-        return self
+    def __init__(self, owner: HttpServer, conn_state, server) -> None:
+        self._owner = owner
+        self._is_counted = False
+        super().__init__(conn_state, server)
 
-    def __next__(self) -> bytes:
-        return next(self._iterator)
+    def _read_request_line(self):
+        line = super()._read_request_line()
+        if line:
+            self._is_counted = True
+            self._owner.count_started()
+        return line
 
-    def close(self) -> None:
-        """Called by the server at the end or when the caller has gone."""
+    def handle_one_request(self) -> None:
+        """Serves one request; its answer is written when this returns."""
         try:
-            if hasattr(self._chunks, 'close'):
-                self._chunks.close()
+            super().handle_one_request()
         finally:
-            on_end, self._on_end = self._on_end, None
-            if on_end is not None:
-                on_end()
+            if self._is_counted:
+                self._is_counted = False
+                self._owner.count_ended()
+
+    def handle_one_response(self) -> None:
+        """Writes the response; ``write`` of the base sends the header."""
+        if self._owner.is_closing:
+            self.close_connection = 1
+        super().handle_one_response()
--- a/src/lentildeal/_internal/network/peers.py
+++ b/src/lentildeal/_internal/network/peers.py
@@ -1,185 +1,28 @@
-"""Connections to other daemons: one reader and one writer each."""
+"""All connections to other daemons: one reader and one writer each."""
 
 from __future__ import annotations
 
-import dataclasses
-import itertools
-import socket
 import typing
 
 import eventlet
 import eventlet.event
-import eventlet.queue
+from eventlet.green import socket
 from loguru import logger
-import prometheus_client
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
+from lentildeal._internal.network import connections as connections_module
 from lentildeal._internal.network import wire
 from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import clock
 
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
-READ_BYTES = 256 * 1024
-# A peer that reads slower than this backlog is disconnected, so that it
-# can't hold the memory of its senders.
-MAX_QUEUED_FRAMES = 20_000
-
-_bytes_total = prometheus_client.Counter(
-    'lentildeal_peer_bytes_total',
-    'Bytes exchanged with other daemons.',
-    ['direction'],
-)
-_frames_total = prometheus_client.Counter(
-    'lentildeal_peer_frames_total',
-    'Frames exchanged with other daemons.',
-    ['direction'],
-)
+ACCEPT_RETRY_S = 0.1
 
 CallHandler = typing.Callable[[ids.InstanceId, typing.Any], typing.Any]
 
 
-@wire.message('peer.hello')
-@dataclasses.dataclass(frozen=True)
-class Hello:
-    """First frame in both directions of a connection."""
-
-    instance: ids.InstanceId
-    incarnation: ids.Incarnation
-
-
-@wire.message('peer.error')
-@dataclasses.dataclass(frozen=True)
-class ErrorReply:
-    """Reply to a call whose handler failed."""
-
-    kind: str
-    message: str
-
-
-class Connection:
-    """One open connection with its pending calls."""
-
-    def __init__(self, sock: socket.socket, hello: Hello) -> None:
-        self.instance = hello.instance
-        self.incarnation = hello.incarnation
-        self.is_open = True
-        self._socket = sock
-        self._outgoing = eventlet.queue.LightQueue(MAX_QUEUED_FRAMES)
-        self._pending: dict[int, eventlet.event.Event] = {}
-        self._numbers = itertools.count(1)
-
-    def send(self, frame: wire.Frame) -> None:
-        """Queues a frame.
-
-        Raises:
-            exceptions.PeerUnreachableError: The connection is closed.
-        """
-        if not self.is_open:
-            raise exceptions.PeerUnreachableError(
-                f'connection to {self.instance} is closed'
-            )
-        data = wire.encode_frame(frame)
-        try:
-            self._outgoing.put_nowait(data)
-        except eventlet.queue.Full:
-            self.close()
-            raise exceptions.PeerUnreachableError(
-                f'{self.instance} does not read; connection closed'
-            ) from None
-
-    def call(self, message: typing.Any, timeout_s: float) -> typing.Any:
-        """Sends a call and waits for its reply."""
-        number = next(self._numbers)
-        event = eventlet.event.Event()
-        self._pending[number] = event
-        try:
-            self.send(wire.Frame(wire.FrameKind.CALL, number, message))
-            with eventlet.Timeout(
-                timeout_s,
-                exceptions.PeerTimeoutError(
-                    f'{self.instance} did not answer'
-                    f' {type(message).__name__} within {timeout_s:.1f} s'
-                ),
-            ):
-                return event.wait()
-        finally:
-            self._pending.pop(number, None)
-
-    def resolve(self, frame: wire.Frame) -> None:
-        """Hands a reply to the call that waits for it.
-
-        A reply whose call has timed out is dropped.
-        """
-        event = self._pending.pop(frame.request, None)
-        if event is None:
-            return
-        if frame.kind is wire.FrameKind.ERROR:
-            event.send_exception(
-                exceptions.RemoteError(
-                    f'{self.instance}: {frame.message.kind}:'
-                    f' {frame.message.message}'
-                )
-            )
-        else:
-            event.send(frame.message)
-
-    def write_frames(self) -> None:
-        """Writes queued frames, many at once, until the connection ends."""
-        while self.is_open:
-            chunks = [self._outgoing.get()]
-            while not self._outgoing.empty():
-                chunks.append(self._outgoing.get_nowait())
-            if None in chunks:
-                return
-            data = b''.join(chunks)
-            try:
-                self._socket.sendall(data)
-            except OSError:
-                self.close()
-                return
-            _bytes_total.labels('sent').inc(len(data))
-            _frames_total.labels('sent').inc(len(chunks))
-
-    def read_frames(self) -> typing.Iterator[wire.Frame]:
-        """Yields frames until the connection ends."""
-        unpacker = wire.make_unpacker()
-        while self.is_open:
-            try:
-                data = self._socket.recv(READ_BYTES)
-            except OSError:
-                return
-            if not data:
-                return
-            _bytes_total.labels('received').inc(len(data))
-            unpacker.feed(data)
-            for body in unpacker:
-                _frames_total.labels('received').inc()
-                yield wire.to_frame(body)
-
-    def close(self) -> None:
-        """Closes the connection and fails its pending calls."""
-        if not self.is_open:
-            return
-        self.is_open = False
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-        self._socket.close()
-        try:
-            self._outgoing.put_nowait(None)
-        except eventlet.queue.Full:
-            pass
-        pending, self._pending = self._pending, {}
-        for event in pending.values():
-            event.send_exception(
-                exceptions.PeerTimeoutError(
-                    f'connection to {self.instance} ended before its answer'
-                )
-            )
-
-
 class PeerNetwork:
     """All connections to other daemons, dialled when first needed."""
 
@@ -188,14 +31,17 @@
         settings: settings_module.Settings,
         incarnation: ids.Incarnation,
     ) -> None:
-        self._hello = Hello(settings.instance, incarnation)
+        self._hello = connections_module.Hello(settings.instance, incarnation)
         self._address = settings_module.split_address(settings.peer_address)
         self._addresses: dict[ids.InstanceId, tuple[str, int]] = {}
-        self._connections: dict[ids.InstanceId, list[Connection]] = {}
+        self._connections: dict[
+            ids.InstanceId, list[connections_module.Connection]
+        ] = {}
         self._dialling: dict[ids.InstanceId, eventlet.event.Event] = {}
         self._handlers: dict[type, CallHandler] = {}
         self._disconnect_handlers: list[CallHandler] = []
         self._listener: typing.Optional[socket.socket] = None
+        self._is_stopped = False
 
     def handle(self, cls: type, function: CallHandler) -> None:
         """Registers the handler of a message type.
@@ -218,6 +64,21 @@
         """Whether a connection to an instance is open."""
         return bool(self._connections.get(instance))
 
+    def connect(self, instance: ids.InstanceId) -> None:
+        """Opens a connection if there is none.
+
+        Raises:
+            exceptions.PeerUnreachableError: It can't be opened.
+        """
+        if instance != self._hello.instance:
+            self._get_connection(instance)
+
+    def disconnect(self, instance: ids.InstanceId) -> None:
+        """Closes all connections to an instance."""
+        for connection in list(self._connections.get(instance, ())):
+            connection.close()
+            self._remove_connection(connection)
+
     def start(self) -> None:
         """Listens for other daemons."""
         self._listener = eventlet.listen(self._address)
@@ -225,6 +86,7 @@
 
     def stop(self) -> None:
         """Closes the listener and all connections."""
+        self._is_stopped = True
         if self._listener is not None:
             self._listener.close()
         for connections in list(self._connections.values()):
@@ -246,7 +108,15 @@
         """
         if instance == self._hello.instance:
             return self._handlers[type(message)](instance, message)
-        return self._get_connection(instance).call(message, timeout_s)
+        deadline = clock.Deadline(timeout_s)
+        with eventlet.Timeout(
+            timeout_s,
+            exceptions.PeerUnreachableError(
+                f'no connection to {instance} within {timeout_s:.1f} s'
+            ),
+        ):
+            connection = self._get_connection(instance)
+        return connection.call(message, deadline.remaining_s)
 
     def notify(self, instance: ids.InstanceId, message: typing.Any) -> None:
         """Sends a message that has no reply.
@@ -260,7 +130,9 @@
         frame = wire.Frame(wire.FrameKind.NOTICE, 0, message)
         self._get_connection(instance).send(frame)
 
-    def _get_connection(self, instance: ids.InstanceId) -> Connection:
+    def _get_connection(
+        self, instance: ids.InstanceId
+    ) -> connections_module.Connection:
         connections = self._connections.get(instance)
         if connections:
             return connections[0]
@@ -278,7 +150,7 @@
             del self._dialling[instance]
             event.send()
 
-    def _dial(self, instance: ids.InstanceId) -> Connection:
+    def _dial(self, instance: ids.InstanceId) -> connections_module.Connection:
         address = self._addresses.get(instance)
         if address is None:
             raise exceptions.PeerUnreachableError(
@@ -290,15 +162,22 @@
             raise exceptions.PeerUnreachableError(
                 f'{instance} at {address[0]}:{address[1]}: {error}'
             ) from error
-        hello = self._exchange_hello(sock)
+        hello = None
+        try:
+            hello = self._exchange_hello(sock)
+        finally:
+            # Also after the time limit of a call has passed in here.
+            if hello is None or hello.instance != instance:
+                sock.close()
         if hello is None or hello.instance != instance:
-            sock.close()
             raise exceptions.PeerUnreachableError(
                 f'{address[0]}:{address[1]} is not {instance}'
             )
         return self._add_connection(sock, hello)
 
-    def _exchange_hello(self, sock) -> typing.Optional[Hello]:
+    def _exchange_hello(
+        self, sock
+    ) -> typing.Optional[connections_module.Hello]:
         """Sends our hello and reads theirs, None if it is not valid."""
         frame = wire.Frame(wire.FrameKind.NOTICE, 0, self._hello)
         unpacker = wire.make_unpacker()
@@ -316,16 +195,24 @@
                 for body in unpacker:
                     hello = wire.to_frame(body).message
                     sock.settimeout(None)
-                    return hello if isinstance(hello, Hello) else None
+                    return (
+                        hello
+                        if isinstance(hello, connections_module.Hello)
+                        else None
+                    )
         except (OSError, exceptions.WireError, ValueError):
             return None
 
     def _accept_connections(self) -> None:
-        while True:
+        while not self._is_stopped:
             try:
                 sock, _ = self._listener.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if not self._is_stopped:
+                    # Such as no free file descriptor; it passes.
+                    logger.warning('peer not accepted: {}', error)
+                    eventlet.sleep(ACCEPT_RETRY_S)
+                continue
             eventlet.spawn_n(self._welcome, sock)
 
     def _welcome(self, sock: socket.socket) -> None:
@@ -335,14 +222,27 @@
             return
         self._add_connection(sock, hello)
 
-    def _add_connection(self, sock, hello: Hello) -> Connection:
-        connection = Connection(sock, hello)
+    def _add_connection(
+        self, sock, hello: connections_module.Hello
+    ) -> connections_module.Connection:
+        connection = connections_module.Connection(sock, hello)
+        self._close_replaced(hello)
         self._connections.setdefault(hello.instance, []).append(connection)
         eventlet.spawn_n(connection.write_frames)
         eventlet.spawn_n(self._serve, connection)
         return connection
 
-    def _serve(self, connection: Connection) -> None:
+    def _close_replaced(self, hello: connections_module.Hello) -> None:
+        """Closes what is left of an earlier process of the instance.
+
+        Its end may not have been noticed, and calls would go there.
+        """
+        for connection in list(self._connections.get(hello.instance, ())):
+            if connection.incarnation != hello.incarnation:
+                connection.close()
+                self._remove_connection(connection)
+
+    def _serve(self, connection: connections_module.Connection) -> None:
         try:
             for frame in connection.read_frames():
                 self._dispatch(connection, frame)
@@ -354,7 +254,9 @@
             connection.close()
             self._remove_connection(connection)
 
-    def _dispatch(self, connection: Connection, frame: wire.Frame) -> None:
+    def _dispatch(
+        self, connection: connections_module.Connection, frame: wire.Frame
+    ) -> None:
         if frame.kind is wire.FrameKind.NOTICE:
             handler = self._handlers.get(type(frame.message))
             if handler is not None:
@@ -364,7 +266,9 @@
         else:
             connection.resolve(frame)
 
-    def _answer(self, connection: Connection, frame: wire.Frame) -> None:
+    def _answer(
+        self, connection: connections_module.Connection, frame: wire.Frame
+    ) -> None:
         kind = wire.FrameKind.REPLY
         try:
             handler = self._handlers.get(type(frame.message))
@@ -375,16 +279,21 @@
             reply = handler(connection.instance, frame.message)
         except Exception as error:
             kind = wire.FrameKind.ERROR
-            reply = ErrorReply(type(error).__name__, str(error))
+            reply = connections_module.ErrorReply(
+                type(error).__name__, str(error)
+            )
         try:
             connection.send(wire.Frame(kind, frame.request, reply))
         except exceptions.PeerError:
             pass
 
-    def _remove_connection(self, connection: Connection) -> None:
+    def _remove_connection(
+        self, connection: connections_module.Connection
+    ) -> None:
         connections = self._connections.get(connection.instance, [])
-        if connection in connections:
-            connections.remove(connection)
+        if connection not in connections:
+            return
+        connections.remove(connection)
         if connections:
             return
         self._connections.pop(connection.instance, None)
