Judge members by listening time and test the table

A late tick counted as two intervals of silence, so a process that woke took a silent member for suspect before it had listened long enough. Handlers of changes now run when states, attachments or cut-off domains change and not for each revision of each member.

--- a/src/lentildeal/_internal/membership/heartbeats.py
+++ b/src/lentildeal/_internal/membership/heartbeats.py
@@ -110,6 +110,17 @@
         raise exceptions.WireError(f'not a member row: {error}') from error
 
 
+def reduce_to_address(member: members.Member) -> members.Member:
+    """Leaves out what changes, for receivers that need the address only."""
+    return members.Member(
+        member.instance,
+        member.incarnation,
+        member.failure_domain,
+        member.http_address,
+        member.peer_address,
+    )
+
+
 class Content(typing.NamedTuple):
     """What a receiver shall know; ``epoch`` grows with each change."""
 
--- a/src/lentildeal/_internal/membership/plugin.py
+++ b/src/lentildeal/_internal/membership/plugin.py
@@ -21,6 +21,10 @@
 
 State = members.MemberState
 
+# One configuration change alters the rows of all members within a moment;
+# judging 350 members takes a few milliseconds.
+REFRESH_DELAY_S = 0.02
+
 _members_gauge = prometheus_client.Gauge(
     'lentildeal_members', 'Members by state.', ['state']
 )
@@ -47,6 +51,8 @@
         self._interval_s = settings.timing.heartbeat_ms / 1000
         self._table = table_module.MemberTable(own, settings.timing)
         self._senders: dict[ids.InstanceId, heartbeats.Sender] = {}
+        self._view: typing.Optional[tuple] = None
+        self._is_refresh_due = False
         self._silent: set[ids.InstanceId] = set()
         self._received: dict[ids.InstanceId, tuple[int, int]] = {}
         self._versions: heartbeats.Versions = {}
@@ -173,8 +179,7 @@
         if not self._table.set_own(**changes):
             return
         self._publish()
-        if 'state' in changes:
-            self._tell_change()
+        self._tell_if_changed()
 
     def _run_ticks(self) -> None:
         while True:
@@ -194,7 +199,7 @@
         self._drop_silent()
         self._update_senders()
         self._publish()
-        self._tell_change()
+        self._tell_if_changed()
 
     def _drop_silent(self) -> None:
         """Closes connections to members that have just fallen silent.
@@ -212,7 +217,23 @@
             self._kernel.peers.disconnect(instance)
         self._silent = silent
 
-    def _tell_change(self) -> None:
+    def _tell_if_changed(self) -> None:
+        """Runs the handlers unless only revisions have changed.
+
+        Each change of the text changes the revision of every member, which
+        concerns nobody who waits for a change of owners or attachments.
+        """
+        view = (
+            self._table.cut_off_domains,
+            self._table.is_settled,
+            {
+                m.instance: (m.incarnation, m.state, m.attachments)
+                for m in self._table.members()
+            },
+        )
+        if view == self._view:
+            return
+        self._view = view
         self._owners.clear()
         for state in State:
             count = sum(m.state is state for m in self._table.members())
@@ -250,13 +271,7 @@
             if is_neighbour and member.instance != own.instance:
                 if member.state is State.DEAD:
                     continue
-                member = members.Member(
-                    member.instance,
-                    member.incarnation,
-                    member.failure_domain,
-                    member.http_address,
-                    member.peer_address,
-                )
+                member = heartbeats.reduce_to_address(member)
             rows[member.instance] = heartbeats.pack_member(member)
         return heartbeats.Content(self._epoch, rows, dict(self._versions))
 
@@ -319,9 +334,20 @@
                 self._table.note_self(member)
         self._table.note_beat(instance, update.incarnation)
         self._table.note_roster(instance, rows, update.removed, update.is_full)
+        self._refresh_soon()
+        self._take_versions(update.versions)
+
+    def _refresh_soon(self) -> None:
+        """Judges all members once for several updates that come together."""
+        if self._is_refresh_due:
+            return
+        self._is_refresh_due = True
+        eventlet.spawn_after(REFRESH_DELAY_S, self._refresh)
+
+    def _refresh(self) -> None:
+        self._is_refresh_due = False
         if self._table.refresh():
             self._apply_change()
-        self._take_versions(update.versions)
 
     def _ask_again(self, instance: ids.InstanceId) -> None:
         eventlet.spawn_n(self._send_resend, instance)
@@ -343,14 +369,12 @@
 
     def _on_refused(self, instance: ids.InstanceId) -> None:
         self._table.note_refused(instance)
-        if self._table.refresh():
-            self._apply_change()
+        self._refresh()
 
     def _refresh_if_back(self, instance: ids.InstanceId) -> None:
         member = self._table.get(instance)
         if member is None or member.state in (State.SUSPECT, State.DEAD):
-            if self._table.refresh():
-                self._apply_change()
+            self._refresh_soon()
 
     def _take_versions(self, versions: heartbeats.Versions) -> None:
         newer = {
--- a/src/lentildeal/_internal/membership/table.py
+++ b/src/lentildeal/_internal/membership/table.py
@@ -11,6 +11,7 @@
 import dataclasses
 import typing
 
+from lentildeal._internal.membership import judging
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.platform import base
@@ -31,8 +32,6 @@
 # Retired incarnations kept for each instance.
 MAX_RETIRED = 8
 
-_PREFERENCE = (State.LIVE, State.SUSPECT, State.LEAVING, State.DEAD)
-
 
 @dataclasses.dataclass
 class _Heard:
@@ -221,8 +220,11 @@
         now_s = self._clock()
         gap_s = now_s - self._ticked_s
         self._ticked_s = now_s
-        self._listened_s += min(gap_s, self._longest_tick_s())
-        if gap_s >= self._longest_tick_s():
+        is_late = gap_s >= self._longest_tick_s()
+        # How much of a pause fell into listening time is not known; one
+        # interval is what the tick would have added without it.
+        self._listened_s += self._interval_s if is_late else gap_s
+        if is_late:
             self._is_settled = False
             self.pauses += 1
             self._woken_s = self._listened_s
@@ -240,7 +242,7 @@
                 judged = self._judge_other_domain(instances)
                 if judged is None:
                     judged = self._judge_silent_domain(instances)
-                    if not _are_all_dead(judged, instances):
+                    if not judging.are_all_dead(judged.values()):
                         cut_off.add(domain)
             after.update(judged)
         self._members = after
@@ -309,30 +311,13 @@
         result = {}
         for instance in instances:
             said = [r[instance] for r in rosters if instance in r]
-            merged = self._merge(instance, direct.get(instance), said)
+            merged = judging.merge(
+                direct.get(instance), said, self._members.get(instance)
+            )
             if merged is not None:
                 result[instance] = merged
         return result
 
-    def _merge(self, instance, own_word, said):
-        """Best view of one member out of its own word and the vouchers'."""
-        if own_word is not None:
-            if own_word.state is not State.SUSPECT:
-                return own_word
-            said = [m for m in said if m.incarnation == own_word.incarnation]
-            said.append(own_word)
-        if not said:
-            last = self._members.get(instance)
-            return last and dataclasses.replace(last, state=State.DEAD)
-        best = min(
-            said,
-            key=lambda m: (_PREFERENCE.index(m.state), -m.revision),
-        )
-        same = [m for m in said if m.incarnation == best.incarnation]
-        if any(m.state is State.LEAVING for m in same):
-            return dataclasses.replace(best, state=State.LEAVING)
-        return best
-
     def _judge_silent_domain(self, instances: list[ids.InstanceId]) -> Roster:
         """Keeps the last states; who was leaving has left by now."""
         result = {}
@@ -398,13 +383,3 @@
             )
             for instance in neighbours
         )
-
-
-def _are_all_dead(judged: Roster, instances: list[ids.InstanceId]) -> bool:
-    """Whether a silent domain has ended rather than been cut off.
-
-    An instance that is listed and was never heard may be live.
-    """
-    return bool(judged) and all(
-        member.state is State.DEAD for member in judged.values()
-    )
