--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -18,6 +18,7 @@
     'lentildeal._internal.orders.swaps',
     'lentildeal._internal.rollouts.trainers_api',
     'lentildeal._internal.rollouts.worker',
+    'lentildeal._internal.reports.burn',
     'lentildeal._internal.reports.status',
 )
 
