Shorten the members in a status of the federation

At 350 daemons each full list of members takes about 52 kB, 18 MB in one answer. Settings get peer_bind_address for daemons that others reach through another address; tests put a forwarder there.

--- a/src/lentildeal/_internal/network/peers.py
+++ b/src/lentildeal/_internal/network/peers.py
@@ -32,7 +32,9 @@
         incarnation: ids.Incarnation,
     ) -> None:
         self._hello = connections_module.Hello(settings.instance, incarnation)
-        self._address = settings_module.split_address(settings.peer_address)
+        self._address = settings_module.split_address(
+            settings.peer_bind_address or settings.peer_address
+        )
         self._addresses: dict[ids.InstanceId, tuple[str, int]] = {}
         self._connections: dict[
             ids.InstanceId, list[connections_module.Connection]
--- a/src/lentildeal/_internal/reports/status.py
+++ b/src/lentildeal/_internal/reports/status.py
@@ -3,11 +3,14 @@
 ``GET /v1/status`` answers with what ``StatusReports.describe`` returns;
 ``?scope=federation`` with ``{"asked_by", "answered": [status, ...],
 "unreached": [{"instance", "failure_domain", "state", "reason"}, ...],
-"cut_off_domains": [...]}``.
+"cut_off_domains": [...]}``. There the members of a status are only those that
+are not live, as 350 full lists of 350 members would take 18 MB;
+``member_counts`` has the number of members by state.
 """
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import typing
 
@@ -62,6 +65,8 @@
         settings = self._kernel.settings
         membership = self._kernel.find_plugin('membership')
         config = self._kernel.find_plugin('config')
+        known = membership.members() if membership else []
+        counts = collections.Counter(m.state.value for m in known)
         return {
             'instance': settings.instance,
             'incarnation': self._kernel.incarnation,
@@ -72,7 +77,8 @@
             'is_log_reachable': config.is_log_reachable if config else None,
             'requests_in_flight': self._kernel.http_server.in_flight,
             'is_view_fresh': membership.is_settled if membership else None,
-            'members': _describe_members(membership),
+            'member_counts': dict(counts),
+            'members': [_describe_member(member) for member in _sort(known)],
             'cut_off_domains': _cut_off_domains(membership),
             'replicas': self._describe_replicas(),
             'steps': self._describe_steps(),
@@ -147,7 +153,7 @@
         return http_server.json_response(
             {
                 'asked_by': self._kernel.settings.instance,
-                'answered': [self.describe()] + answered,
+                'answered': [_shorten(self.describe())] + answered,
                 'unreached': [_to_json(item) for item in round_.unreached],
                 'cut_off_domains': _cut_off_domains(membership),
             }
@@ -160,24 +166,25 @@
         return http_server.json_response({'state': 'draining'}, 202)
 
     def _answer_fetch(self, _, __) -> State:
-        return State(_to_json(self.describe()))
-
-
-def _describe_members(membership) -> list[Status]:
-    if membership is None:
-        return []
-    return [
-        {
-            'instance': member.instance,
-            'incarnation': member.incarnation,
-            'failure_domain': member.failure_domain,
-            'http_address': member.http_address,
-            'state': member.state.value,
-            'revision': member.revision,
-            'attachments': [_to_json(a) for a in member.attachments],
-        }
-        for member in _sort(membership.members())
-    ]
+        return State(_to_json(_shorten(self.describe())))
+
+
+def _describe_member(member: members.Member) -> Status:
+    return {
+        'instance': member.instance,
+        'incarnation': member.incarnation,
+        'failure_domain': member.failure_domain,
+        'http_address': member.http_address,
+        'state': member.state.value,
+        'revision': member.revision,
+        'attachments': [_to_json(a) for a in member.attachments],
+    }
+
+
+def _shorten(status: Status) -> Status:
+    """Leaves out live members, for reports over many daemons."""
+    rest = [m for m in status['members'] if m['state'] != 'live']
+    return {**status, 'members': rest}
 
 
 def _sort(known: list[members.Member]) -> list[members.Member]:
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 import ipaddress
 import pathlib
+import typing
 
 from lentildeal._internal.config import jsonc
 from lentildeal._internal.config import schema
@@ -117,6 +118,11 @@
     )
     peer_address: str = options.option('Address "ip:port" for other daemons.')
     platform: Platform = options.option("The platform's services.")
+    peer_bind_address: typing.Optional[str] = options.option(
+        'Address "ip:port" to listen on for other daemons, if they reach'
+        ' it under another one, as through address translation.',
+        None,
+    )
     timing: Timing = options.option('Intervals.', factory=Timing)
     limits: Limits = options.option('Bounds.', factory=Limits)
     logging: Logging = options.option('Log output.', factory=Logging)
@@ -166,8 +172,10 @@
 
 
 def _check(settings: Settings, source: str) -> None:
-    for name in ('http_address', 'peer_address'):
+    for name in ('http_address', 'peer_address', 'peer_bind_address'):
         address = getattr(settings, name)
+        if address is None:
+            continue
         try:
             split_address(address)
         except ValueError as error:
