Add slot queues, grants and the live callers' interface

Live calls need ordered queues in front of replicas and outcomes that tell whether work ran. Add the queue of one replica with weighted fair order, the plug-in slots, replica choice, health, retry budgets, and the routes for services and completions. The HTTP server writes each part of a body at once: the default of 4096 bytes held tokens back and turned an early break into an empty answer 500. It also reads chunked request bodies, which were taken as empty before.

--- /dev/null
+++ b/src/lentildeal/_internal/callers/calls.py
@@ -0,0 +1,53 @@
+"""A live call and what an attempt at it found out."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import text as text_module
+from lentildeal._internal.utils import clock
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """One call of a live service.
+
+    Attributes:
+        request_id: Unique for the call; attempts add a suffix.
+        name: Name of the service.
+        service: The service in the text in effect.
+        target: The target that answers.
+        deadline: When the caller gives up.
+        prefix: Prompt of a completion, for the prefix cache.
+    """
+
+    request_id: ids.RequestId
+    name: ids.ServiceName
+    service: text_module.Service
+    target: text_module.Target
+    deadline: clock.Deadline
+    prefix: typing.Optional[str] = None
+
+
+@dataclasses.dataclass
+class Usage:
+    """What an attempt has used so far.
+
+    Attributes:
+        tokens: Tokens generated.
+        was_delivered: Whether the caller has received a part of the answer.
+    """
+
+    tokens: int = 0
+    was_delivered: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """Whole answer of a plain service."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
--- /dev/null
+++ b/src/lentildeal/_internal/callers/completions.py
@@ -0,0 +1,223 @@
+"""Completions of model engines, streamed to the caller or whole."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+import eventlet
+
+from lentildeal._internal.callers import attempts
+from lentildeal._internal.callers import calls
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.network import http_server
+from lentildeal._internal.network import sse
+from lentildeal._internal.platform import base
+from lentildeal._internal.utils import clock
+
+MAX_TOKENS_DEFAULT = 256
+LARGEST_MAX_TOKENS = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class CompletionBody:
+    """Body of ``POST /v1/completions``."""
+
+    model: ids.ServiceName
+    prompt: str
+    max_tokens: int
+    is_streamed: bool
+
+
+def read_body(request: http_server.Request) -> CompletionBody:
+    """Checks the body.
+
+    Raises:
+        exceptions.BadRequestError: A field is missing or not valid.
+    """
+    value = request.read_json()
+    if not isinstance(value, dict):
+        raise exceptions.BadRequestError('the body is no JSON object')
+    max_tokens = value.get('max_tokens', MAX_TOKENS_DEFAULT)
+    is_number = isinstance(max_tokens, int) and max_tokens is not True
+    if not is_number or not 0 < max_tokens <= LARGEST_MAX_TOKENS:
+        raise exceptions.BadRequestError(
+            f'"max_tokens" must be from 1 to {LARGEST_MAX_TOKENS}'
+        )
+    for name in ('model', 'prompt'):
+        if not isinstance(value.get(name), str):
+            raise exceptions.BadRequestError(f'"{name}" must be a string')
+    return CompletionBody(
+        model=ids.ServiceName(value['model']),
+        prompt=value['prompt'],
+        max_tokens=max_tokens,
+        is_streamed=bool(value.get('stream', False)),
+    )
+
+
+class EngineStream:
+    """Chunks of one attempt, with the deadline kept at each of them.
+
+    The first chunk is read at once, so that an engine that fails before it
+    can be replaced by another one.
+    """
+
+    def __init__(
+        self,
+        call: calls.Call,
+        attempt: attempts.Attempt,
+        engine: base.Engine,
+        request: base.CompletionRequest,
+        batch_s: float,
+    ) -> None:
+        self._call = call
+        self._attempt = attempt
+        self._engine = engine
+        self._request_id = request.request_id
+        self._chunks = engine.stream(
+            request, call.deadline.remaining_s, batch_s
+        )
+        self._is_open = True
+        self._first = self._read()
+
+    def __iter__(self) -> EngineStream:
+        return self
+
+    def __next__(self) -> base.TokenChunk:
+        """Returns the next chunk; the end means that the answer is whole."""
+        chunk, self._first = self._first, None
+        if chunk is None and self._is_open:
+            chunk = self._read()
+        if chunk is None:
+            raise StopIteration
+        return chunk
+
+    def note_delivered(self) -> None:
+        """Notes that the caller gets a part, so that nothing is repeated."""
+        self._attempt.usage.was_delivered = True
+
+    def close(self) -> None:
+        """Gives the answer up and cancels the generation."""
+        if self._is_open:
+            self._cancel()
+            self._attempt.end_given_up()
+
+    def _read(self) -> typing.Optional[base.TokenChunk]:
+        late = exceptions.MayHaveRunError('no whole answer by the deadline')
+        try:
+            with eventlet.Timeout(self._call.deadline.remaining_s, late):
+                chunk = next(self._chunks, None)
+        except exceptions.NotRunError as error:
+            self._is_open = False
+            self._attempt.end_failed(error)
+            raise
+        except exceptions.LentildealError as error:
+            self._cancel()
+            self._attempt.end_failed(error)
+            raise
+        except BaseException:
+            self.close()
+            raise
+        if chunk is None:
+            self._is_open = False
+            self._attempt.end_whole()
+            return None
+        self._attempt.usage.tokens += chunk.token_count
+        return chunk
+
+    def _cancel(self) -> None:
+        """Closes the stream and tells the engine, which may not notice."""
+        self._is_open = False
+        self._chunks.close()
+        eventlet.spawn_n(self._engine.cancel, self._request_id)
+
+
+class EventBody:
+    """Body of a streamed answer: one event for each batch of tokens."""
+
+    def __init__(self, body: CompletionBody, stream: EngineStream) -> None:
+        self._body = body
+        self._stream = stream
+        self._tokens = 0
+        self._version: typing.Optional[int] = None
+        self._is_done = False
+
+    def __iter__(self) -> EventBody:
+        return self
+
+    def __next__(self) -> bytes:
+        """Returns events; an error ends the answer without its marker."""
+        if self._is_done:
+            raise StopIteration
+        chunk = next(self._stream, None)
+        if chunk is None:
+            self._is_done = True
+            return self._format_end()
+        self._stream.note_delivered()
+        self._tokens += chunk.token_count
+        self._version = chunk.version
+        return self._format(chunk.text, None, chunk.token_count)
+
+    def close(self) -> None:
+        """Called at the end or when the caller has gone."""
+        self._stream.close()
+
+    def _format_end(self) -> bytes:
+        reason = _finish_reason(self._tokens, self._body.max_tokens)
+        end = self._format('', reason, 0)
+        return end + sse.format_event(sse.END_MARKER)
+
+    def _format(self, text, reason, tokens: int) -> bytes:
+        event = {
+            'choices': [{'text': text, 'finish_reason': reason}],
+            'version': self._version,
+            'tokens': tokens,
+        }
+        return sse.format_event(json.dumps(event))
+
+
+def read_whole(body: CompletionBody, stream: EngineStream) -> dict:
+    """Reads the rest of a stream and makes the whole answer.
+
+    Raises:
+        exceptions.MayHaveRunError: The stream broke.
+    """
+    chunks = list(stream)
+    tokens = sum(chunk.token_count for chunk in chunks)
+    reason = _finish_reason(tokens, body.max_tokens)
+    text = ''.join(chunk.text for chunk in chunks)
+    versions = sorted({chunk.version for chunk in chunks})
+    return {
+        'model': body.model,
+        'choices': [{'text': text, 'finish_reason': reason}],
+        'version': versions[-1] if versions else None,
+        'versions': versions,
+        'tokens': tokens,
+    }
+
+
+def make_response(
+    body: CompletionBody, stream: EngineStream
+) -> http_server.Response:
+    """Makes the streamed response for a stream that has begun."""
+    headers = {'Content-Type': sse.CONTENT_TYPE, 'Cache-Control': 'no-store'}
+    return http_server.Response(200, headers, EventBody(body, stream))
+
+
+def _finish_reason(tokens: int, max_tokens: int) -> str:
+    return 'length' if tokens >= max_tokens else 'stop'
+
+
+def check_deadline(deadline: clock.Deadline) -> None:
+    """Refuses a call whose time is over before anything is sent.
+
+    Raises:
+        exceptions.NotRunError: The deadline has passed.
+    """
+    if deadline.has_passed:
+        raise exceptions.NotRunError(
+            'the deadline has passed', cause=outcomes.Cause.DEADLINE.value
+        )
--- /dev/null
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -0,0 +1,257 @@
+"""Attempts at a call: choice of replica, slots, retries."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import prometheus_client
+
+from lentildeal._internal.callers import attempts
+from lentildeal._internal.callers import calls
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.routing import chooser
+from lentildeal._internal.routing import grants
+from lentildeal._internal.routing import health as health_module
+from lentildeal._internal.routing import retries
+from lentildeal._internal.routing import slots
+from lentildeal._internal.utils import clock
+
+T = typing.TypeVar('T')
+
+# Calls without a slot, of this daemon at one replica, while no owner can be
+# reached. All daemons together may do this at once, hence the small number.
+DIRECT_LIMIT = 2
+# Replicas whose queues are asked before a refusal is passed on.
+MAX_QUEUES_ASKED = 3
+
+_requests_total = prometheus_client.Counter(
+    'lentildeal_calls_total',
+    'Live calls by how they ended.',
+    ['service', 'outcome'],
+)
+_refusals_total = prometheus_client.Counter(
+    'lentildeal_refusals_total',
+    'Live calls refused before they ran.',
+    ['club', 'cause'],
+)
+_attempts_total = prometheus_client.Counter(
+    'lentildeal_attempts_total',
+    'Attempts at live calls that reached a replica.',
+    ['target', 'kind'],
+)
+_seconds = prometheus_client.Histogram(
+    'lentildeal_call_seconds',
+    'Time of live calls until their answer is whole or has begun.',
+    ['service'],
+)
+
+Run = typing.Callable[[attempts.Attempt], T]
+
+
+class Dispatcher:
+    """Runs calls at replicas."""
+
+    def __init__(self, slot_owner, domain: ids.FailureDomain) -> None:
+        """Makes a dispatcher.
+
+        Args:
+            slot_owner: Plug-in ``slots``.
+            domain: Failure domain of this instance.
+        """
+        self._slots = slot_owner
+        self._loads: chooser.LoadBook = slot_owner.loads
+        self._chooser = chooser.ReplicaChooser(domain, self._loads)
+        self._budgets = retries.RetryBudgets()
+        self._direct: collections.Counter[ids.ReplicaAddress] = (
+            collections.Counter()
+        )
+        self.health = health_module.HealthBook()
+
+    def run(self, call: calls.Call, function: Run[T]) -> T:
+        """Runs a call, with retries as far as they are allowed.
+
+        Args:
+            call: The call.
+            function: Calls the replica of an attempt and returns the answer,
+                or its beginning; it reports the end of the attempt.
+
+        Raises:
+            exceptions.NotRunError: No byte was sent in any attempt.
+            exceptions.MayHaveRunError: Some attempt may have run.
+            exceptions.RanAndFailedError: The target reported a failure.
+        """
+        started_s = clock.monotonic_s()
+        try:
+            result = self._run_attempts(call, function)
+        except exceptions.NotRunError as error:
+            _refusals_total.labels(call.service.club, error.cause).inc()
+            _requests_total.labels(call.name, 'not_run').inc()
+            raise
+        except exceptions.RanAndFailedError:
+            _requests_total.labels(call.name, 'ran_and_failed').inc()
+            raise
+        except exceptions.MayHaveRunError:
+            _requests_total.labels(call.name, 'may_have_run').inc()
+            raise
+        _requests_total.labels(call.name, 'answered').inc()
+        _seconds.labels(call.name).observe(clock.monotonic_s() - started_s)
+        return result
+
+    def _run_attempts(self, call: calls.Call, function: Run[T]) -> T:
+        budget = self._budgets.get(call.service.club, call.service.target)
+        budget.record_request()
+        tried: set[ids.ReplicaAddress] = set()
+        sent_error: typing.Optional[exceptions.LentildealError] = None
+        number = 0
+        while True:
+            number += 1
+            try:
+                attempt = self._begin(call, tried, number)
+            except exceptions.NotRunError:
+                if sent_error is not None:
+                    # An earlier attempt may have run, so the call as a whole
+                    # is not "not run".
+                    raise sent_error from None
+                raise
+            try:
+                return self._run_once(call, attempt, function, number)
+            except exceptions.NotRunError as error:
+                tried.add(attempt.replica.address)
+                if not self._may_connect_elsewhere(call, tried):
+                    raise sent_error or error
+            except (
+                exceptions.MayHaveRunError,
+                exceptions.RanAndFailedError,
+            ) as error:
+                sent_error = error
+                tried.add(attempt.replica.address)
+                if not self._may_repeat(call, attempt, error, budget):
+                    raise
+
+    def _run_once(self, call, attempt, function: Run[T], number: int) -> T:
+        kind = 'first' if number == 1 else 'retry'
+        _attempts_total.labels(call.service.target, kind).inc()
+        try:
+            return function(attempt)
+        except exceptions.LentildealError as error:
+            attempt.end_failed(error)
+            raise
+        except BaseException:
+            attempt.end_given_up()
+            raise
+
+    def _may_connect_elsewhere(self, call, tried) -> bool:
+        """Whether a call that could not connect goes to another replica.
+
+        A failed connect costs a target nothing, so the retry budget is not
+        charged; the number of replicas bounds it.
+        """
+        count = sum(len(group) for group in call.target.replicas.values())
+        return len(tried) < count and not call.deadline.has_passed
+
+    def _may_repeat(self, call, attempt, error, budget) -> bool:
+        if isinstance(error, exceptions.RanAndFailedError):
+            if error.status < attempts.FIRST_FAULT_STATUS:
+                return False
+        is_allowed = retries.may_retry(
+            is_idempotent=call.service.idempotent,
+            were_bytes_sent=True,
+            was_delivered=attempt.usage.was_delivered,
+            deadline=call.deadline,
+        )
+        return is_allowed and budget.try_spend()
+
+    def _begin(self, call, tried, number: int) -> attempts.Attempt:
+        """Chooses a replica and waits for one of its slots.
+
+        Raises:
+            exceptions.NotRunError: No replica has a slot in time.
+        """
+        candidates = self._list_candidates(call, tried)
+        refused: list[exceptions.NotRunError] = []
+        limit = call.target.concurrency
+        asked = 0
+        while candidates and asked < MAX_QUEUES_ASKED:
+            replica = self._chooser.choose(candidates, limit, call.prefix)
+            candidates.remove(replica)
+            try:
+                return self._acquire(call, replica, f'{number}.{len(refused)}')
+            except exceptions.NotRunError as error:
+                refused.append(error)
+                if not _is_owner_unreachable(error):
+                    asked += 1
+                if call.deadline.has_passed:
+                    break
+        if refused and all(map(_is_owner_unreachable, refused)):
+            return self._begin_directly(call, tried)
+        raise _most_telling(refused)
+
+    def _acquire(self, call, replica, suffix: str) -> attempts.Attempt:
+        self._loads.begin(replica.address)
+        try:
+            grant = self._slots.acquire(
+                replica.domain,
+                replica.address,
+                call.service.club,
+                ids.RequestId(f'{call.request_id}.{suffix}'),
+                call.deadline,
+            )
+        except BaseException:
+            self._loads.end(replica.address)
+            raise
+        return attempts.Attempt(call, replica, grant, self._loads, self.health)
+
+    def _begin_directly(self, call, tried) -> attempts.Attempt:
+        """Takes one of the few calls that need no owner."""
+        free = [
+            replica
+            for replica in self._list_candidates(call, tried)
+            if self._direct[replica.address] < DIRECT_LIMIT
+        ]
+        if not free or call.deadline.has_passed:
+            raise slots.refusal(
+                outcomes.Cause.OWNER_UNREACHABLE,
+                f'no owner of a replica of {call.service.target} answers',
+            )
+        replica = self._chooser.choose(free, DIRECT_LIMIT, call.prefix)
+        self._direct[replica.address] += 1
+
+        def release(is_success: bool, seconds: float, tokens: int) -> None:
+            self._direct[replica.address] -= 1
+
+        grant = grants.Grant(replica.address, ids.Incarnation(0), release)
+        self._loads.begin(replica.address)
+        return attempts.Attempt(call, replica, grant, self._loads, self.health)
+
+    def _list_candidates(self, call, tried) -> list[chooser.Replica]:
+        """Usable replicas, without those tried as long as others remain."""
+        domains = {
+            address: domain
+            for domain, group in call.target.replicas.items()
+            for address in group
+        }
+        if not domains:
+            raise slots.refusal(
+                outcomes.Cause.TARGET_DOWN,
+                f'target {call.service.target} has no replica',
+            )
+        untried = [address for address in domains if address not in tried]
+        usable = self.health.select_usable(untried or list(domains))
+        return [chooser.Replica(domains[a], a) for a in usable]
+
+
+def _is_owner_unreachable(error: exceptions.NotRunError) -> bool:
+    return error.cause == outcomes.Cause.OWNER_UNREACHABLE.value
+
+
+def _most_telling(
+    refused: list[exceptions.NotRunError],
+) -> exceptions.NotRunError:
+    """A refusal by a queue says more than an owner that is away."""
+    for error in refused:
+        if not _is_owner_unreachable(error):
+            return error
+    return refused[0]
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -130,6 +130,9 @@
             log_output=False,
             max_size=self._settings.limits.connections,
             socket_timeout=KEEPALIVE_S,
+            # The default of 4096 bytes holds the tokens of a stream back and
+            # turns an early break of the stream into an empty answer 500.
+            minimum_chunk_size=1,
             debug=False,
         )
 
@@ -171,9 +174,11 @@
             logger.opt(exception=error).error('request handler failed')
             return problems.to_response(error)
 
-    def _read_request(self, environ) -> Request:
-        length = environ.get('CONTENT_LENGTH') or '0'
+    def _read_body(self, environ) -> bytes:
         limit = self._settings.limits.request_bytes
+        if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
+            return _read_chunked_body(environ, limit)
+        length = environ.get('CONTENT_LENGTH') or '0'
         if not length.isdigit() or int(length) > limit:
             raise exceptions.BadRequestError(
                 f'the body has {length} bytes, {limit} are allowed',
@@ -184,6 +189,10 @@
             raise exceptions.BadRequestError(
                 f'the body ended after {len(body)} of {length} bytes'
             )
+        return body
+
+    def _read_request(self, environ) -> Request:
+        body = self._read_body(environ)
         headers = {
             name[5:].replace('_', '-').lower(): value
             for name, value in environ.items()
@@ -201,6 +210,21 @@
         )
 
 
+def _read_chunked_body(environ, limit: int) -> bytes:
+    try:
+        body = environ['wsgi.input'].read(limit + 1)
+    except (OSError, ValueError) as error:
+        raise exceptions.BadRequestError(
+            f'the chunked body is not complete: {error}'
+        ) from error
+    if len(body) > limit:
+        raise exceptions.BadRequestError(
+            f'the body has more than the {limit} bytes that are allowed',
+            remedy='send a smaller body',
+        )
+    return body
+
+
 class _Body:
     """Iterates over a body and runs a function once at its end."""
 
--- /dev/null
+++ b/src/lentildeal/_internal/routing/health.py
@@ -0,0 +1,203 @@
+"""Ejection of failing and slow replicas, as this daemon sees them."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import random
+import statistics
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.utils import clock
+
+CONSECUTIVE_FAILURES = 3
+# A replica that fails this share of its last requests is ejected even if
+# other requests succeed in between.
+FAILURE_SHARE = 0.5
+RECENT_OUTCOMES = 20
+# A replica is slow if its time per unit of cost is above this multiple of
+# the median of the target's replicas.
+SLOW_FACTOR = 3.0
+MINIMUM_MEASUREMENTS = 10
+LATENCY_WEIGHT = 0.2
+# At most this share of a target's replicas is ejected, so that a fault of
+# this daemon's own network does not take the whole target away.
+LARGEST_EJECTED_SHARE = 1 / 3
+FIRST_EJECTION_S = 5.0
+LONGEST_EJECTION_S = 60.0
+# Whole answers that end the probation after an ejection.
+PROBATION_SUCCESSES = 3
+
+
+class HealthState(str, enum.Enum):
+    """How a replica is used."""
+
+    HEALTHY = 'healthy'
+    EJECTED = 'ejected'
+    PROBATION = 'probation'
+
+
+class _Record:
+    """What is known of one replica."""
+
+    def __init__(self) -> None:
+        self.state = HealthState.HEALTHY
+        self.failures_in_row = 0
+        self.recent: collections.deque[bool] = collections.deque(
+            maxlen=RECENT_OUTCOMES
+        )
+        self.unit_s: typing.Optional[float] = None
+        self.measurements = 0
+        self.ejections = 0
+        self.ejected_until_s = 0.0
+        self.successes_on_probation = 0
+        self.trials = 0
+
+    def forget_history(self) -> None:
+        """Starts the measurements again, after an ejection."""
+        self.failures_in_row = 0
+        self.recent.clear()
+        self.unit_s = None
+        self.measurements = 0
+        self.successes_on_probation = 0
+
+
+class HealthBook:
+    """Health of all replicas of all targets."""
+
+    def __init__(
+        self, now: typing.Callable[[], float] = clock.monotonic_s
+    ) -> None:
+        self._now = now
+        self._records: dict[ids.ReplicaAddress, _Record] = {}
+
+    def state_of(self, address: ids.ReplicaAddress) -> HealthState:
+        """Present state; an ejection that has ended is a probation."""
+        record = self._get(address)
+        is_over = self._now() >= record.ejected_until_s
+        if record.state is HealthState.EJECTED and is_over:
+            record.state = HealthState.PROBATION
+            record.forget_history()
+        return record.state
+
+    def select_usable(
+        self, replicas: typing.Sequence[ids.ReplicaAddress]
+    ) -> list[ids.ReplicaAddress]:
+        """Leaves out ejected replicas and those with a trial running."""
+        usable = [a for a in replicas if self._is_usable(a)]
+        return usable or list(replicas)
+
+    def begin(self, address: ids.ReplicaAddress) -> None:
+        """Notes that a request goes to a replica."""
+        self._get(address).trials += 1
+
+    def end(self, address: ids.ReplicaAddress) -> None:
+        """Notes that a request has ended, in whatever way."""
+        self._get(address).trials -= 1
+
+    def record_success(
+        self,
+        address: ids.ReplicaAddress,
+        unit_s: float,
+        replicas: typing.Sequence[ids.ReplicaAddress],
+    ) -> None:
+        """Takes in a whole answer.
+
+        Args:
+            address: Replica that answered.
+            unit_s: Time per unit of cost, in seconds.
+            replicas: All replicas of the target.
+        """
+        record = self._get(address)
+        record.failures_in_row = 0
+        record.recent.append(True)
+        record.measurements += 1
+        if record.unit_s is None:
+            record.unit_s = unit_s
+        record.unit_s += LATENCY_WEIGHT * (unit_s - record.unit_s)
+        if self._is_slow(address, replicas):
+            self._try_eject(address, replicas)
+        elif self.state_of(address) is HealthState.PROBATION:
+            self._advance_probation(record)
+
+    def record_failure(
+        self,
+        address: ids.ReplicaAddress,
+        replicas: typing.Sequence[ids.ReplicaAddress],
+    ) -> None:
+        """Takes in a request without a whole answer."""
+        record = self._get(address)
+        record.failures_in_row += 1
+        record.recent.append(False)
+        if self._is_failing(record, self.state_of(address)):
+            self._try_eject(address, replicas)
+
+    def is_overdue(
+        self,
+        address: ids.ReplicaAddress,
+        seconds: float,
+        replicas: typing.Sequence[ids.ReplicaAddress],
+    ) -> bool:
+        """Whether a request without an answer speaks against a replica.
+
+        A caller's own short deadline must not eject a replica for all.
+        """
+        median_s = self._median_s(replicas)
+        return median_s is None or seconds > SLOW_FACTOR * median_s
+
+    def _get(self, address: ids.ReplicaAddress) -> _Record:
+        return self._records.setdefault(address, _Record())
+
+    def _is_usable(self, address: ids.ReplicaAddress) -> bool:
+        state = self.state_of(address)
+        if state is HealthState.PROBATION:
+            return self._get(address).trials == 0
+        return state is HealthState.HEALTHY
+
+    def _is_failing(self, record: _Record, state: HealthState) -> bool:
+        if state is HealthState.PROBATION:
+            return True
+        if record.failures_in_row >= CONSECUTIVE_FAILURES:
+            return True
+        failures = record.recent.count(False)
+        return (
+            len(record.recent) == RECENT_OUTCOMES
+            and failures >= FAILURE_SHARE * RECENT_OUTCOMES
+        )
+
+    def _is_slow(self, address, replicas) -> bool:
+        record = self._get(address)
+        needed = MINIMUM_MEASUREMENTS
+        if record.state is HealthState.PROBATION:
+            needed = PROBATION_SUCCESSES
+        median_s = self._median_s(replicas)
+        if record.measurements < needed or median_s is None:
+            return False
+        return record.unit_s > SLOW_FACTOR * median_s
+
+    def _median_s(self, replicas) -> typing.Optional[float]:
+        times = [self._get(a).unit_s for a in replicas]
+        known = [time for time in times if time is not None]
+        return statistics.median_low(known) if len(known) >= 2 else None
+
+    def _try_eject(self, address, replicas) -> None:
+        states = [self.state_of(a) for a in replicas if a != address]
+        ejected = states.count(HealthState.EJECTED)
+        if ejected + 1 > LARGEST_EJECTED_SHARE * len(replicas):
+            return
+        record = self._get(address)
+        seconds = min(
+            LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**record.ejections
+        )
+        # Jitter keeps daemons from returning to a replica at the same time.
+        seconds *= 0.75 + random.random() / 2
+        record.state = HealthState.EJECTED
+        record.ejections = min(record.ejections + 1, 10)
+        record.ejected_until_s = self._now() + seconds
+
+    def _advance_probation(self, record: _Record) -> None:
+        record.successes_on_probation += 1
+        if record.successes_on_probation >= PROBATION_SUCCESSES:
+            record.state = HealthState.HEALTHY
+            record.ejections = 0
--- /dev/null
+++ b/src/lentildeal/_internal/routing/owner.py
@@ -0,0 +1,251 @@
+"""Plug-in ``slots``: slot grants of owned replicas, to all daemons."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import eventlet
+from loguru import logger
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import members
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.routing import chooser
+from lentildeal._internal.routing import grants
+from lentildeal._internal.routing import messages
+from lentildeal._internal.routing import owned
+from lentildeal._internal.routing import slots
+from lentildeal._internal.utils import clock
+
+ReplicaLoad = chooser.ReplicaLoad
+Grant = grants.Grant
+
+EXPIRY_INTERVAL_S = 1.0
+
+_waits_seconds = prometheus_client.Histogram(
+    'lentildeal_slot_wait_seconds',
+    'Time that work waits for a slot at its owner.',
+    ['work_class'],
+    buckets=(0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 30, 300),
+)
+_refusals_total = prometheus_client.Counter(
+    'lentildeal_slot_refusals_total',
+    'Slots refused by owners.',
+    ['cause', 'club'],
+)
+_reclaimed_total = prometheus_client.Counter(
+    'lentildeal_slots_reclaimed_total',
+    'Slots taken back from entry daemons.',
+    ['reason'],
+)
+
+
+@plugins.register('slots', after=('config', 'membership'))
+class SlotOwner(plugins.Plugin):
+    """Owns queues of replicas and asks other owners for slots."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self._config = kernel.plugin('config')
+        self._membership = kernel.plugin('membership')
+        self._owned = owned.OwnedReplicas(kernel.settings.limits.queue_length)
+        self.loads = chooser.LoadBook()
+        self._client = grants.GrantClient(
+            kernel, self._membership, self.loads, self._acquire_locally
+        )
+
+    def start(self) -> None:
+        """Registers handlers and takes over replicas."""
+        peers = self._kernel.peers
+        peers.handle(messages.SlotAcquire, self._answer_acquire)
+        peers.handle(messages.SlotRelease, self._take_release)
+        peers.on_disconnect(self._reclaim_after_disconnect)
+        self._client.start()
+        self._config.on_change(self._update)
+        self._membership.on_change(self._update)
+        self._update()
+        self._kernel.spawn('slot-expiry', self._expire_grants)
+
+    def acquire(
+        self,
+        domain: ids.FailureDomain,
+        address: ids.ReplicaAddress,
+        club: ids.ClubName,
+        request_id: ids.RequestId,
+        deadline: clock.Deadline,
+    ) -> Grant:
+        """Waits for a slot of a replica for a live call.
+
+        Raises:
+            exceptions.NotRunError: There is none; the cause is
+                ``owner_unreachable`` if another replica should be tried.
+        """
+        return self._client.acquire(
+            domain, address, club, request_id, deadline
+        )
+
+    def wait_rollout_slot(self, address: ids.ReplicaAddress) -> Grant:
+        """Waits for a slot of an owned replica for a rollout.
+
+        Raises:
+            exceptions.NotRunError: The replica is or becomes another
+                daemon's.
+        """
+        replica = self._owned.get(address)
+        if replica is None:
+            raise _not_owner(address)
+        started_s = clock.monotonic_s()
+        ticket = replica.queue.enqueue_rollout()
+        try:
+            ticket.wait()
+        except BaseException:
+            replica.release(ticket, True, 0.0, 0)
+            raise
+        _observe_wait(outcomes.WorkClass.ROLLOUT, started_s)
+
+        def release(is_success: bool, seconds: float, tokens: int) -> None:
+            replica.release(ticket, is_success, seconds, tokens)
+
+        return Grant(address, self._kernel.incarnation, release)
+
+    def load_of(
+        self, address: ids.ReplicaAddress
+    ) -> typing.Optional[ReplicaLoad]:
+        """Last known load of a replica, None if nothing is known."""
+        load = self._owned.load_of(address)
+        return load or self.loads.last_report(address)
+
+    def pause_rollouts(self, address: ids.ReplicaAddress) -> None:
+        """Holds back rollouts of an owned replica, for a swap."""
+        self._set_paused(address, True)
+
+    def resume_rollouts(self, address: ids.ReplicaAddress) -> None:
+        """Lets rollouts start again."""
+        self._set_paused(address, False)
+
+    def iter_owned(
+        self,
+    ) -> typing.Iterator[
+        tuple[ids.TargetName, ids.FailureDomain, ids.ReplicaAddress]
+    ]:
+        """Yields target, domain and address of each owned replica."""
+        for replica in self._owned:
+            yield replica.target, replica.domain, replica.address
+
+    def _set_paused(self, address, is_paused) -> None:
+        replica = self._owned.get(address)
+        if replica is not None:
+            replica.queue.set_paused(is_paused)
+
+    def _update(self) -> None:
+        text = self._config.text
+        if text is None:
+            return
+        self._owned.update(text, self._membership.is_owner)
+        self._client.abandon_moved()
+        for member in self._membership.members():
+            if member.state is members.MemberState.DEAD:
+                self._reclaim(member.instance, 'dead')
+
+    def _reclaim_after_disconnect(
+        self, instance: ids.InstanceId, incarnation: ids.Incarnation
+    ) -> None:
+        self._reclaim(instance, 'disconnect')
+
+    def _reclaim(self, instance: ids.InstanceId, reason: str) -> None:
+        count = self._owned.release_all_of(instance)
+        if count:
+            _reclaimed_total.labels(reason).inc(count)
+            logger.warning('took back {} slots of {}', count, instance)
+
+    def _expire_grants(self) -> None:
+        while True:
+            eventlet.sleep(EXPIRY_INTERVAL_S)
+            count = self._owned.release_expired()
+            if count:
+                _reclaimed_total.labels('expired').inc(count)
+
+    def _acquire_locally(
+        self,
+        instance: ids.InstanceId,
+        message: messages.SlotAcquire,
+        on_queued: typing.Callable[[], None] = lambda: None,
+    ) -> messages.SlotGranted:
+        """Waits for a slot of an owned replica.
+
+        Raises:
+            exceptions.NotRunError: There is none in time.
+        """
+        replica = self._owned.get(message.address)
+        if replica is None:
+            raise _not_owner(message.address)
+        started_s = clock.monotonic_s()
+        deadline = clock.Deadline(message.remaining_ms / 1000)
+        holder = instance, message.request_id
+        try:
+            self._owned.wait_for_slot(
+                holder, replica, message.club, deadline, on_queued
+            )
+        except exceptions.NotRunError as error:
+            _refusals_total.labels(error.cause, message.club).inc()
+            raise
+        _observe_wait(outcomes.WorkClass.LIVE, started_s)
+        return messages.SlotGranted(self._kernel.incarnation, replica.load())
+
+    def _answer_acquire(
+        self, instance: ids.InstanceId, message: messages.SlotAcquire
+    ) -> typing.Any:
+        def tell_queued() -> None:
+            self._notify(instance, messages.SlotQueued(message.request_id))
+
+        try:
+            return self._acquire_locally(instance, message, tell_queued)
+        except exceptions.NotRunError as error:
+            replica = self._owned.get(message.address)
+            return messages.SlotRefused(
+                error.cause,
+                error.message,
+                math.ceil(error.retry_after_s * 1000),
+                replica.load() if replica else None,
+            )
+
+    def _take_release(
+        self, instance: ids.InstanceId, message: messages.SlotRelease
+    ) -> None:
+        if message.incarnation not in (0, self._kernel.incarnation):
+            return
+        holder = instance, message.request_id
+        replica = self._owned.release(
+            holder,
+            message.is_success,
+            message.micros / 1e6,
+            message.tokens,
+        )
+        if replica is not None:
+            if instance != self._kernel.settings.instance:
+                self._notify(instance, replica.load())
+        elif message.incarnation == 0:
+            self._owned.note_early_release(holder)
+
+    def _notify(self, instance: ids.InstanceId, message: typing.Any) -> None:
+        try:
+            self._kernel.peers.notify(instance, message)
+        except exceptions.PeerError:
+            # The disconnect itself reclaims the peer's slots.
+            return
+
+
+def _not_owner(address: ids.ReplicaAddress) -> exceptions.NotRunError:
+    return slots.refusal(
+        outcomes.Cause.OWNER_UNREACHABLE,
+        f'this instance does not own the queue of {address}',
+    )
+
+
+def _observe_wait(work_class: outcomes.WorkClass, started_s: float) -> None:
+    waited_s = clock.monotonic_s() - started_s
+    _waits_seconds.labels(work_class.value).observe(waited_s)
--- a/src/lentildeal/_internal/utils/clock.py
+++ b/src/lentildeal/_internal/utils/clock.py
@@ -19,6 +19,11 @@
         """Seconds left, 0 after the deadline has passed."""
         return max(0.0, self._at_s - monotonic_s())
 
+    @property
+    def overdue_s(self) -> float:
+        """Seconds since the deadline, 0 before it."""
+        return max(0.0, monotonic_s() - self._at_s)
+
     @property
     def has_passed(self) -> bool:
         """Whether no time is left."""
