Add idempotency claims in the log

A keyed non-idempotent call may be repeated at another instance, whose memory doesn't know the first one. Claim the key in the stream claims before running; the first claim in log order runs.

--- a/src/lentildeal/_internal/callers/completions.py
+++ b/src/lentildeal/_internal/callers/completions.py
@@ -207,6 +207,19 @@
     return http_server.Response(200, headers, EventBody(body, stream))
 
 
+def make_replayed_response(whole: bytes) -> http_server.Response:
+    """Makes a streamed response of a whole answer.
+
+    A keyed call of a service that is not idempotent is answered whole, so
+    that a repeat gets the same answer.
+    """
+    body = sse.format_event(whole.decode())
+    headers = {'Content-Type': sse.CONTENT_TYPE, 'Cache-Control': 'no-store'}
+    return http_server.Response(
+        200, headers, body + sse.format_event(sse.END_MARKER)
+    )
+
+
 def _finish_reason(tokens: int, max_tokens: int) -> str:
     return 'length' if tokens >= max_tokens else 'stop'
 
--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import secrets
 import typing
 
 from lentildeal._internal.callers import attempts
 from lentildeal._internal.callers import calls
+from lentildeal._internal.callers import claims
 from lentildeal._internal.callers import completions
 from lentildeal._internal.callers import dispatch
 from lentildeal._internal.callers import services
@@ -19,6 +21,7 @@
 from lentildeal._internal.platform import base
 from lentildeal._internal.routing import slots
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import hashing
 
 ServiceAnswer = calls.ServiceAnswer
 
@@ -42,6 +45,8 @@
         )
         self._service_caller = services.ServiceCaller()
         self._engines: dict[ids.ReplicaAddress, base.Engine] = {}
+        self._claims = claims.Claims(kernel, self._config.log)
+        self._reads_claims = False
         self._batch_s = kernel.settings.timing.relay_batch_ms / 1000
 
     def start(self) -> None:
@@ -49,6 +54,8 @@
         router = self._kernel.router
         router.add('POST', '/v1/completions', self._complete)
         router.add('*', '/v1/services/{service}/{path*}', self._serve)
+        self._config.on_change(self._start_claims)
+        self._start_claims()
 
     def call_service(
         self,
@@ -78,13 +85,43 @@
         call = self._make_call(
             service, text_module.TargetKind.SERVICE, deadline
         )
-        return self._dispatcher.run(
-            call,
-            lambda attempt: self._service_caller.call_replica(
-                call, attempt, method, path.lstrip('/'), headers or {}, body
-            ),
+        sent = headers or {}
+        path = path.lstrip('/')
+
+        def run() -> ServiceAnswer:
+            return self._dispatcher.run(
+                call,
+                lambda attempt: self._service_caller.call_replica(
+                    call, attempt, method, path, sent, body
+                ),
+            )
+
+        fingerprint = hashing.hash_text(method, path, body.hex())
+        return self._run_keyed(call, _find_key(sent), fingerprint, run)
+
+    def _run_keyed(
+        self,
+        call: calls.Call,
+        key: typing.Optional[str],
+        fingerprint: int,
+        run: claims.Run,
+    ) -> ServiceAnswer:
+        """Claims the key first if the call must not be repeated."""
+        if key is None or call.service.idempotent:
+            return run()
+        return self._claims.run_once(
+            call.name, key, fingerprint, call.deadline, run
         )
 
+    def _start_claims(self) -> None:
+        """Reads the stream of claims once any service may need it."""
+        text = self._config.text
+        if text is None or self._reads_claims:
+            return
+        if not all(s.idempotent for s in text.services.values()):
+            self._reads_claims = True
+            self._claims.start()
+
     def _serve(self, request: http_server.Request) -> http_server.Response:
         answer = self.call_service(
             ids.ServiceName(request.parameters['service']),
@@ -104,18 +141,31 @@
             read_deadline(request),
             body.prompt,
         )
-        if body.is_streamed:
+        is_keyed = _find_key(request.headers) is not None
+        if body.is_streamed and (call.service.idempotent or not is_keyed):
             stream = self._dispatcher.run(
                 call, lambda attempt: self._open_stream(call, attempt, body)
             )
             return completions.make_response(body, stream)
-        whole = self._dispatcher.run(
-            call,
-            lambda attempt: completions.read_whole(
-                body, self._open_stream(call, attempt, body)
-            ),
-        )
-        return http_server.json_response(whole)
+        return self._complete_whole(request, call, body)
+
+    def _complete_whole(self, request, call, body) -> http_server.Response:
+        def run() -> ServiceAnswer:
+            whole = self._dispatcher.run(
+                call,
+                lambda attempt: completions.read_whole(
+                    body, self._open_stream(call, attempt, body)
+                ),
+            )
+            return ServiceAnswer(200, {}, json.dumps(whole).encode())
+
+        fingerprint = hashing.hash_text('completion', request.body.hex())
+        key = _find_key(request.headers)
+        answer = self._run_keyed(call, key, fingerprint, run)
+        if body.is_streamed:
+            return completions.make_replayed_response(answer.body)
+        headers = {'Content-Type': http_server.JSON_TYPE}
+        return http_server.Response(answer.status, headers, answer.body)
 
     def _open_stream(
         self,
@@ -178,6 +228,22 @@
         )
 
 
+def _find_key(headers: typing.Mapping[str, str]) -> typing.Optional[str]:
+    """Returns the idempotency key, None without one.
+
+    Raises:
+        exceptions.BadRequestError: The key is too long.
+    """
+    for name, value in headers.items():
+        if name.lower() == KEY_HEADER and value:
+            if len(value) > LONGEST_KEY:
+                raise exceptions.BadRequestError(
+                    f'Idempotency-Key has more than {LONGEST_KEY} characters'
+                )
+            return value
+    return None
+
+
 def read_deadline(
     request: http_server.Request,
 ) -> typing.Optional[clock.Deadline]:
--- a/tests/lib/plugin_fakes.py
+++ b/tests/lib/plugin_fakes.py
@@ -1,9 +1,14 @@
 """Small fakes at the interfaces of the plug-ins ``config`` and others."""
 
+import json
 import types
 
+import eventlet
+
+from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_server
+from lentildeal._internal.platform import base
 from lentildeal._internal.settings import settings as settings_module
 
 
@@ -38,8 +43,6 @@
             peer.handlers[type(message)](self.instance, message)
 
     def wait_while_silent(self):
-        import eventlet
-
         while self.is_silent:
             eventlet.sleep(0.01)
 
@@ -90,7 +93,39 @@
         return self.plugins[name]
 
     def spawn(self, name, function, *arguments):
-        pass
+        eventlet.spawn_n(function, *arguments)
+
+
+class FakeLog(base.LogService):
+    """Streams in memory with outages, lost answers and retention."""
+
+    def __init__(self):
+        self.records = []
+        self.oldest = 0
+        self.is_down = False
+        self.lost_answers = 0
+
+    def append(self, stream, body):
+        eventlet.sleep(0)
+        if self.is_down:
+            raise exceptions.LogUnavailableError('down')
+        self.records.append(json.loads(json.dumps(body)))
+        offset = len(self.records) - 1
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise exceptions.LogAnswerLostError('lost')
+        return offset
+
+    def read(self, stream, start, wait_s=0.0):
+        eventlet.sleep(0.001)
+        if self.is_down:
+            raise exceptions.LogUnavailableError('down')
+        start = max(start, self.oldest)
+        records = tuple(
+            base.LogRecord(offset, self.records[offset])
+            for offset in range(start, len(self.records))
+        )
+        return base.LogPage(records, self.oldest, len(self.records))
 
 
 def make_settings(instance):
