--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -174,7 +174,7 @@
     def _read_body(self, environ) -> bytes:
         limit = self._settings.limits.request_bytes
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
-            return _read_chunked_body(environ, limit)
+            return self._read_chunked_body(environ, limit)
         length = environ.get('CONTENT_LENGTH') or '0'
         if not length.isdigit() or int(length) > limit:
             raise exceptions.BadRequestError(
@@ -188,6 +188,20 @@
             )
         return body
 
+    def _read_chunked_body(self, environ, limit: int) -> bytes:
+        try:
+            body = environ['wsgi.input'].read(limit + 1)
+        except (OSError, ValueError) as error:
+            raise exceptions.BadRequestError(
+                f'the chunked body is not complete: {error}'
+            ) from error
+        if len(body) > limit:
+            raise exceptions.BadRequestError(
+                f'the body has more than the {limit} bytes that are allowed',
+                remedy='send a smaller body',
+            )
+        return body
+
     def _read_request(self, environ) -> Request:
         body = self._read_body(environ)
         headers = {
@@ -207,21 +221,6 @@
         )
 
 
-def _read_chunked_body(environ, limit: int) -> bytes:
-    try:
-        body = environ['wsgi.input'].read(limit + 1)
-    except (OSError, ValueError) as error:
-        raise exceptions.BadRequestError(
-            f'the chunked body is not complete: {error}'
-        ) from error
-    if len(body) > limit:
-        raise exceptions.BadRequestError(
-            f'the body has more than the {limit} bytes that are allowed',
-            remedy='send a smaller body',
-        )
-    return body
-
-
 class _Body:
     """Iterates over a body and runs a function once at its end."""
 
