--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -19,6 +19,7 @@
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.network import http_server
 from lentildeal._internal.platform import base
+from lentildeal._internal.platform import http_engine  # noqa: F401
 from lentildeal._internal.routing import slots
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import hashing
--- /dev/null
+++ b/tests/functional/test_calls.py
@@ -0,0 +1,306 @@
+"""Live calls through real daemons, judged by the stand-ins' journals."""
+
+import collections
+import concurrent.futures
+import http.client
+import json
+import random
+import socket
+
+import pytest
+
+from tests.lib import builders
+from tests.lib import federation
+from tests.lib import processes
+
+SEED = 11
+CALLERS = 8
+
+
+@pytest.fixture(scope='module')
+def plain():
+    """Two daemons in front of three replicas of a plain service."""
+    with federation.Federation() as started:
+        replicas = started.start_services({'a': 3})
+        started.replicas = replicas['a']
+        addresses = federation.list_addresses(replicas)
+        target = builders.make_service_target(addresses, concurrency=4)
+        gone = {'a': [f'127.0.0.1:{processes.find_free_port()}']}
+        gone['a'] += addresses['a']
+        started.publish(
+            builders.make_text(
+                {'t': target, 'g': builders.make_service_target(gone)},
+                {
+                    'once': make_service('t', False),
+                    'many': make_service('t', True),
+                    'holed': make_service('g', False),
+                },
+            )
+        )
+        started.add_daemons({'a': 2})
+        yield started
+
+
+@pytest.fixture
+def engines():
+    """Two daemons in front of one engine with two slots."""
+    with federation.Federation() as started:
+        replicas = started.start_engines({'a': 1})
+        started.engine = replicas['a'][0]
+        target = builders.make_engine_target(
+            'm', federation.list_addresses(replicas), concurrency=2
+        )
+        started.publish(
+            builders.make_text({'e': target}, {'gen': make_service('e', True)})
+        )
+        started.add_daemons({'a': 2})
+        yield started
+
+
+def make_service(target, idempotent):
+    return {
+        'club': 'c',
+        'target': target,
+        'idempotent': idempotent,
+        'deadline_ms': 10_000,
+    }
+
+
+def set_faults(replicas, **switches):
+    for replica in replicas:
+        replica.set_faults(**switches)
+
+
+def count_runs(replicas):
+    return collections.Counter(
+        entry['call']
+        for replica in replicas
+        for entry in replica.read_journal()['calls']
+    )
+
+
+def call(daemon, service, identity, **headers):
+    return daemon.call(
+        'POST', f'/v1/services/{service}/work', {'call': identity}, **headers
+    )
+
+
+def judge(identity, status, answer, runs):
+    """Checks that an answer is true and belongs to its own call."""
+    if status == 200:
+        assert answer['call'] == identity
+        assert runs[identity] == 1
+    else:
+        is_refusal = answer['outcome'] == 'not_run'
+        assert not (is_refusal and runs[identity]), (identity, answer)
+        if answer['outcome'] == 'ran_and_failed':
+            assert runs[identity] == 1
+    assert runs[identity] <= 1
+
+
+BREAKS = {
+    'break_before': 'may_have_run',
+    'break_after': 'may_have_run',
+    'truncate': 'may_have_run',
+    'errors': 'ran_and_failed',
+}
+
+
+@pytest.mark.parametrize('fault', BREAKS)
+def test_broken_call_runs_once_with_true_outcome(plain, fault):
+    """A non-idempotent call that is sent again after a break."""
+    first, second = plain.daemons.values()
+    set_faults(plain.replicas, **{fault: 1})
+    identity = f'single-{fault}'
+    status, answer = call(first, 'once', identity, Idempotency_Key=identity)
+    set_faults(plain.replicas, **{fault: 0})
+    assert answer['outcome'] == BREAKS[fault]
+    for daemon in (first, second):
+        repeat = call(daemon, 'once', identity, Idempotency_Key=identity)
+        assert repeat[1]['outcome'] in ('may_have_run', 'ran_and_failed')
+    judge(identity, status, answer, count_runs(plain.replicas))
+
+
+def test_random_breaks_with_repeats_elsewhere(plain):
+    """Two runs, an untrue refusal or a mixed answer under random faults."""
+    set_faults(
+        plain.replicas,
+        break_before=0.1,
+        break_after=0.1,
+        truncate=0.1,
+        errors=0.1,
+    )
+    daemons = list(plain.daemons.values())
+
+    def attempt(number):
+        generator = random.Random(SEED * 1000 + number)
+        identity = f'random-{number}'
+        key = {'Idempotency_Key': identity} if number % 2 else {}
+        times = generator.randint(2, 3) if key else 1
+        return [
+            (
+                identity,
+                *call(generator.choice(daemons), 'once', identity, **key),
+            )
+            for _ in range(times)
+        ]
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        answers = [a for part in pool.map(attempt, range(200)) for a in part]
+    set_faults(
+        plain.replicas, break_before=0, break_after=0, truncate=0, errors=0
+    )
+    runs = count_runs(plain.replicas)
+    for identity, status, answer in answers:
+        judge(identity, status, answer, runs)
+    statuses = collections.Counter(status for _, status, _ in answers)
+    assert statuses[200] and len(statuses) > 1
+
+
+def test_replica_that_refuses_connections_loses_no_call(plain):
+    """A call of any kind that is lost though no byte of it left."""
+    daemon = next(iter(plain.daemons.values()))
+    for number in range(20):
+        identity = f'holed-{number}'
+        assert call(daemon, 'holed', identity)[0] == 200
+    runs = count_runs(plain.replicas)
+    assert all(runs[f'holed-{number}'] == 1 for number in range(20))
+
+
+def test_caller_that_goes_away_causes_no_second_run(plain):
+    """A repeat that runs while or after the first one runs unwatched."""
+    first, second = plain.daemons.values()
+    set_faults(plain.replicas, service_ms=500)
+    body = json.dumps({'call': 'gone'}).encode()
+    connection = http.client.HTTPConnection(first.address)
+    headers = {'Idempotency-Key': 'gone'}
+    connection.request('POST', '/v1/services/once/work', body, headers)
+    processes.wait_for(
+        lambda: count_runs(plain.replicas)['gone'], 'the call runs'
+    )
+    connection.close()
+    status, answer = call(second, 'once', 'gone', Idempotency_Key='gone')
+    set_faults(plain.replicas, service_ms=0)
+    judge('gone', status, answer, count_runs(plain.replicas))
+
+
+def test_failing_replica_costs_no_idempotent_call(plain):
+    """Lost calls, or a storm of retries, when a third of calls fail."""
+    plain.replicas[0].set_faults(errors=1.0)
+    before = sum(count_runs(plain.replicas).values())
+    daemons = list(plain.daemons.values())
+
+    def attempt(number):
+        return call(daemons[number % 2], 'many', f'budget-{number}')
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        answers = list(pool.map(attempt, range(400)))
+    plain.replicas[0].set_faults(errors=0)
+    attempts = sum(count_runs(plain.replicas).values()) - before
+    assert [status for status, _ in answers].count(200) == 400
+    assert attempts / 400 <= 1.10
+
+
+def test_refusal_at_the_deadline_is_early_and_true(plain):
+    """Calls that wait for a slot until their deadline, or run after it."""
+    set_faults(plain.replicas, service_ms=200)
+    daemon = next(iter(plain.daemons.values()))
+
+    def attempt(number):
+        identity = f'late-{number}'
+        answer = call(daemon, 'once', identity, X_Deadline_Ms='600')
+        return identity, *answer
+
+    with concurrent.futures.ThreadPoolExecutor(60) as pool:
+        answers = list(pool.map(attempt, range(60)))
+    set_faults(plain.replicas, service_ms=0)
+    processes.wait_for(
+        lambda: all(
+            'ended_s' in entry
+            for replica in plain.replicas
+            for entry in replica.read_journal()['calls']
+        ),
+        'all runs have ended',
+    )
+    runs = count_runs(plain.replicas)
+    for identity, status, answer in answers:
+        judge(identity, status, answer, runs)
+    journals = [replica.read_journal() for replica in plain.replicas]
+    assert max(journal['most_running'] for journal in journals) <= 4
+
+
+def complete(daemon, prompt, tokens, stream=False):
+    body = {'model': 'gen', 'prompt': prompt, 'max_tokens': tokens}
+    return daemon.call('POST', '/v1/completions', {**body, 'stream': stream})
+
+
+def test_broken_stream_never_looks_whole(engines):
+    """Half of a generation that passes as the whole of it."""
+    daemon = next(iter(engines.daemons.values()))
+    engines.engine.set_faults(truncate=10)
+    status, answer = complete(daemon, 'p', 20)
+    assert (status, answer['outcome']) == (504, 'may_have_run')
+    with pytest.raises(http.client.IncompleteRead) as info:
+        complete(daemon, 'p', 20, True)
+    assert b'[DONE]' not in info.value.partial
+    engines.engine.set_faults(truncate=0)
+    status, answer = complete(daemon, 'p', 20)
+    assert status == 200 and answer['tokens'] <= 20
+
+
+def test_stream_is_the_text_that_the_engine_generated(engines):
+    """Tokens that are lost, doubled or of another call."""
+    daemons = list(engines.daemons.values())
+
+    def attempt(number):
+        return complete(daemons[number % 2], f'prompt {number}', 16, True)
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        answers = list(pool.map(attempt, range(24)))
+    runs = {
+        run['prompt']: run['text']
+        for run in engines.engine.read_journal()['runs']
+    }
+    for number, (status, body) in enumerate(answers):
+        assert status == 200
+        events = [line[6:] for line in body.split(b'\n') if line]
+        assert events.pop() == b'[DONE]'
+        texts = [json.loads(e)['choices'][0]['text'] for e in events]
+        assert ''.join(texts) == runs[f'prompt {number}']
+    assert engines.engine.read_journal()['most_running'] <= 2
+
+
+def test_caller_that_goes_away_frees_engine_and_slot(engines):
+    """Generations that nobody reads and that hold their slots."""
+    engines.engine.set_faults(slow_factor=5.0)
+    daemon = next(iter(engines.daemons.values()))
+    body = {'model': 'gen', 'prompt': 'x', 'max_tokens': 500, 'stream': True}
+    for _ in range(4):
+        connection = socket.create_connection(('127.0.0.1', daemon.port))
+        data = json.dumps(body).encode()
+        connection.sendall(
+            b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+            b'Content-Length: %d\r\n\r\n' % len(data) + data
+        )
+        assert connection.recv(100).startswith(b'HTTP/1.1 200')
+        connection.close()
+    engines.engine.set_faults(slow_factor=1.0)
+    processes.wait_for(
+        lambda: all(
+            run['state'] in ('cancelled', 'finished')
+            for run in engines.engine.read_journal()['runs']
+        ),
+        'all generations have ended',
+    )
+    assert complete(daemon, 'y', 4)[0] == 200
+
+
+def test_death_of_the_owner_loses_no_later_call(engines):
+    """A replica that can't be used after its queue's owner has died."""
+    first, second = engines.daemons.values()
+    first.kill()
+    for number in range(5):
+        processes.wait_for(
+            lambda: complete(second, f'after {number}', 4)[0] == 200,
+            'a call is answered',
+        )
