--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -63,12 +63,14 @@
         """
         self._slots = slot_owner
         self._loads: chooser.LoadBook = slot_owner.loads
-        self._chooser = chooser.ReplicaChooser(domain, self._loads)
+        self.health = health_module.HealthBook()
+        self._chooser = chooser.ReplicaChooser(
+            domain, self._loads, self.health.penalty
+        )
         self._budgets = retries.RetryBudgets()
         self._direct: collections.Counter[ids.ReplicaAddress] = (
             collections.Counter()
         )
-        self.health = health_module.HealthBook()
 
     def run(self, call: calls.Call, function: Run[T]) -> T:
         """Runs a call, with retries as far as they are allowed.
--- a/src/lentildeal/_internal/routing/chooser.py
+++ b/src/lentildeal/_internal/routing/chooser.py
@@ -30,6 +30,9 @@
 AFFINITY_BOUND = 1.25
 
 
+PenaltyOf = typing.Callable[[ids.ReplicaAddress], float]
+
+
 @dataclasses.dataclass(frozen=True)
 class ReplicaLoad:
     """Load of one replica as its owner sees it.
@@ -112,16 +115,25 @@
 
 
 class ReplicaChooser:
-    """Chooses among the usable replicas of a target."""
+    """Chooses among the usable replicas of a target.
+
+    Args:
+        domain: Failure domain of this instance.
+        loads: Known loads.
+        penalty_of: Load to add for a replica that fails.
+        generator: Source of random numbers.
+    """
 
     def __init__(
         self,
         domain: ids.FailureDomain,
         loads: LoadBook,
+        penalty_of: PenaltyOf = lambda address: 0.0,
         generator: typing.Optional[random.Random] = None,
     ) -> None:
         self._domain = domain
         self._loads = loads
+        self._penalty_of = penalty_of
         self._random = generator or random.Random()
 
     def choose(
@@ -146,13 +158,17 @@
 
     def _make_score(self, limit: int):
         def score(replica: Replica) -> tuple[float, float]:
-            load = self._loads.estimate(replica.address, limit)
+            load = self._estimate(replica.address, limit)
             if replica.domain != self._domain:
                 load += REMOTE_PENALTY
             return load, self._random.random()
 
         return score
 
+    def _estimate(self, address: ids.ReplicaAddress, limit: int) -> float:
+        penalty = self._penalty_of(address)
+        return self._loads.estimate(address, limit) + penalty
+
     def _sample(self, replicas: typing.Sequence[Replica]) -> list[Replica]:
         local = [r for r in replicas if r.domain == self._domain]
         remote = [r for r in replicas if r.domain != self._domain]
@@ -171,8 +187,7 @@
         """First replica in the prefix's order that is within the bound."""
         by_address = {replica.address: replica for replica in replicas}
         estimates = {
-            address: self._loads.estimate(address, limit)
-            for address in by_address
+            address: self._estimate(address, limit) for address in by_address
         }
         mean = sum(estimates.values()) / len(estimates)
         bound = max(AFFINITY_BOUND * mean, 1 / limit)
--- a/src/lentildeal/_internal/routing/health.py
+++ b/src/lentildeal/_internal/routing/health.py
@@ -16,11 +16,14 @@
 # other requests succeed in between.
 FAILURE_SHARE = 0.5
 RECENT_OUTCOMES = 20
+RECENT_S = 30.0
 # A replica is slow if its time per unit of cost is above this multiple of
 # the median of the target's replicas.
 SLOW_FACTOR = 3.0
 MINIMUM_MEASUREMENTS = 10
 LATENCY_WEIGHT = 0.2
+# Extra load of a replica whose requests all fail, relative to its limit.
+FAILURE_PENALTY = 2.0
 # At most this share of a target's replicas is ejected, so that a fault of
 # this daemon's own network does not take the whole target away.
 LARGEST_EJECTED_SHARE = 1 / 3
@@ -44,7 +47,8 @@
     def __init__(self) -> None:
         self.state = HealthState.HEALTHY
         self.failures_in_row = 0
-        self.recent: collections.deque[bool] = collections.deque(
+        # Time and success of the last requests, the latest last.
+        self.recent: collections.deque[tuple[float, bool]] = collections.deque(
             maxlen=RECENT_OUTCOMES
         )
         self.unit_s: typing.Optional[float] = None
@@ -111,7 +115,7 @@
         """
         record = self._get(address)
         record.failures_in_row = 0
-        record.recent.append(True)
+        record.recent.append((self._now(), True))
         record.measurements += 1
         if record.unit_s is None:
             record.unit_s = unit_s
@@ -129,10 +133,18 @@
         """Takes in a request without a whole answer."""
         record = self._get(address)
         record.failures_in_row += 1
-        record.recent.append(False)
+        record.recent.append((self._now(), False))
         if self._is_failing(record, self.state_of(address)):
             self._try_eject(address, replicas)
 
+    def penalty(self, address: ids.ReplicaAddress) -> float:
+        """Load to add in the choice, relative to the limit.
+
+        A failing replica that can't be ejected, because a third of the
+        target is, is still avoided as long as others fail less.
+        """
+        return FAILURE_PENALTY * self._failure_share(self._get(address))
+
     def is_overdue(
         self,
         address: ids.ReplicaAddress,
@@ -160,12 +172,18 @@
             return True
         if record.failures_in_row >= CONSECUTIVE_FAILURES:
             return True
-        failures = record.recent.count(False)
         return (
             len(record.recent) == RECENT_OUTCOMES
-            and failures >= FAILURE_SHARE * RECENT_OUTCOMES
+            and self._failure_share(record) >= FAILURE_SHARE
         )
 
+    def _failure_share(self, record: _Record) -> float:
+        oldest_s = self._now() - RECENT_S
+        while record.recent and record.recent[0][0] < oldest_s:
+            record.recent.popleft()
+        failures = sum(not is_success for _, is_success in record.recent)
+        return failures / max(1, len(record.recent))
+
     def _is_slow(self, address, replicas) -> bool:
         record = self._get(address)
         needed = MINIMUM_MEASUREMENTS
--- a/tests/functional/test_calls.py
+++ b/tests/functional/test_calls.py
@@ -264,7 +264,7 @@
         for run in engines.engine.read_journal()['runs']
     }
     for number, (status, body) in enumerate(answers):
-        assert status == 200
+        assert status == 200, body
         events = [line[6:] for line in body.split(b'\n') if line]
         assert events.pop() == b'[DONE]'
         texts = [json.loads(e)['choices'][0]['text'] for e in events]
--- a/tests/unit/routing/test_choice.py
+++ b/tests/unit/routing/test_choice.py
@@ -35,7 +35,8 @@
 
 
 def make_chooser(loads):
-    return chooser.ReplicaChooser('a', loads, random.Random(SEED))
+    generator = random.Random(SEED)
+    return chooser.ReplicaChooser('a', loads, generator=generator)
 
 
 def spread(count=2):
@@ -96,6 +97,21 @@
     assert states.count(health.HealthState.EJECTED) == 2
 
 
+def test_failing_replica_is_avoided_when_no_more_may_be_ejected(now, book):
+    """A dead replica in full use because another one was ejected first."""
+    loads = chooser.LoadBook(now)
+    for address in REPLICAS[:3]:
+        fail(book, address)
+    choose = chooser.ReplicaChooser('a', loads, book.penalty).choose
+    usable = book.select_usable(REPLICAS[:4])
+    assert usable == REPLICAS[2:4]
+    replicas = [chooser.Replica('a', address) for address in usable]
+    chosen = {choose(replicas, 8).address for _ in range(20)}
+    assert chosen == {REPLICAS[3]}
+    now.now_s += health.RECENT_S + 1.0
+    assert book.penalty(REPLICAS[2]) == 0.0
+
+
 def test_short_deadline_of_a_caller_is_no_fault(book):
     """A club with tiny deadlines that ejects replicas for all clubs."""
     for address in REPLICAS:
