--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -188,7 +188,7 @@
                 if call.deadline.has_passed:
                     break
         if refused and all(map(_is_owner_unreachable, refused)):
-            return self._begin_directly(call, tried)
+            return self._begin_directly(call, tried, refused[-1])
         raise _most_telling(refused)
 
     def _acquire(self, call, replica, suffix: str) -> attempts.Attempt:
@@ -206,7 +206,7 @@
             raise
         return attempts.Attempt(call, replica, grant, self._loads, self.health)
 
-    def _begin_directly(self, call, tried) -> attempts.Attempt:
+    def _begin_directly(self, call, tried, refused) -> attempts.Attempt:
         """Takes one of the few calls that need no owner."""
         free = [
             replica
@@ -216,7 +216,8 @@
         if not free or call.deadline.has_passed:
             raise slots.refusal(
                 outcomes.Cause.OWNER_UNREACHABLE,
-                f'no owner of a replica of {call.service.target} answers',
+                f'no owner of a replica of {call.service.target} answers:'
+                f' {refused.message}',
             )
         replica = self._chooser.choose(free, DIRECT_LIMIT, call.prefix)
         self._direct[replica.address] += 1
--- a/src/lentildeal/_internal/routing/grants.py
+++ b/src/lentildeal/_internal/routing/grants.py
@@ -119,12 +119,12 @@
     def _acquire_remotely(self, owner, message, deadline):
         now_s = clock.monotonic_s()
         if owner is None or self._avoided_until_s.get(owner, 0.0) > now_s:
-            raise _unreachable(message.address)
+            raise _unreachable(message.address, f'{owner} is avoided')
         try:
             reply = self._ask(owner, message, deadline)
         except exceptions.PeerError as error:
             self._withdraw(owner, message)
-            raise _unreachable(message.address) from error
+            raise _unreachable(message.address, error.message) from error
         except BaseException:
             self._withdraw(owner, message)
             raise
@@ -225,8 +225,10 @@
         eventlet.kill(self._greenlet, error)
 
 
-def _unreachable(address: ids.ReplicaAddress) -> exceptions.NotRunError:
+def _unreachable(
+    address: ids.ReplicaAddress, problem: str
+) -> exceptions.NotRunError:
     return slots.refusal(
         outcomes.Cause.OWNER_UNREACHABLE,
-        f'the owner of {address} does not answer',
+        f'the owner of {address} does not answer: {problem}',
     )
