Let calls wait while no owner is reachable

Daemons that have just started own nothing until their view of the members has settled. Calls above the small direct limit were refused in that time; they now wait for an owner or a direct slot, at most half of their time.

--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import typing
 
+import eventlet
 import prometheus_client
 
 from lentildeal._internal.callers import attempts
@@ -24,6 +26,9 @@
 # Calls without a slot, of this daemon at one replica, while no owner can be
 # reached. All daemons together may do this at once, hence the small number.
 DIRECT_LIMIT = 2
+# Interval at which a call without a slot looks for an owner again.
+OWNERLESS_POLL_S = 0.05
+MAX_OWNERLESS_WAITING = 200
 # Replicas whose queues are asked before a refusal is passed on.
 MAX_QUEUES_ASKED = 3
 
@@ -68,6 +73,7 @@
             domain, self._loads, self.health.penalty
         )
         self._budgets = retries.RetryBudgets()
+        self._ownerless_waiting = 0
         self._direct: collections.Counter[ids.ReplicaAddress] = (
             collections.Counter()
         )
@@ -169,9 +175,38 @@
     def _begin(self, call, tried, number: int) -> attempts.Attempt:
         """Chooses a replica and waits for one of its slots.
 
+        Without a reachable owner the call waits for one to come back or for
+        one of the few direct calls to end, at most half of its time.
+
         Raises:
             exceptions.NotRunError: No replica has a slot in time.
         """
+        patience = clock.Deadline(call.deadline.remaining_s / 2)
+        asks = itertools.count()
+        while True:
+            try:
+                return self._begin_at_owner(call, tried, number, asks)
+            except exceptions.NotRunError as error:
+                if not _is_owner_unreachable(error):
+                    raise
+                attempt = self._try_directly(call, tried)
+                if attempt is not None:
+                    return attempt
+                is_full = self._ownerless_waiting >= MAX_OWNERLESS_WAITING
+                if is_full or patience.has_passed:
+                    raise
+            self._wait_for_owner()
+
+    def _wait_for_owner(self) -> None:
+        self._ownerless_waiting += 1
+        try:
+            eventlet.sleep(OWNERLESS_POLL_S)
+        finally:
+            self._ownerless_waiting -= 1
+
+    def _begin_at_owner(
+        self, call, tried, number: int, asks
+    ) -> attempts.Attempt:
         candidates = self._list_candidates(call, tried)
         refused: list[exceptions.NotRunError] = []
         limit = call.target.concurrency
@@ -180,15 +215,13 @@
             replica = self._chooser.choose(candidates, limit, call.prefix)
             candidates.remove(replica)
             try:
-                return self._acquire(call, replica, f'{number}.{len(refused)}')
+                return self._acquire(call, replica, f'{number}.{next(asks)}')
             except exceptions.NotRunError as error:
                 refused.append(error)
                 if not _is_owner_unreachable(error):
                     asked += 1
                 if call.deadline.has_passed:
                     break
-        if refused and all(map(_is_owner_unreachable, refused)):
-            return self._begin_directly(call, tried, refused[-1])
         raise _most_telling(refused)
 
     def _acquire(self, call, replica, suffix: str) -> attempts.Attempt:
@@ -206,19 +239,15 @@
             raise
         return attempts.Attempt(call, replica, grant, self._loads, self.health)
 
-    def _begin_directly(self, call, tried, refused) -> attempts.Attempt:
-        """Takes one of the few calls that need no owner."""
+    def _try_directly(self, call, tried) -> typing.Optional[attempts.Attempt]:
+        """Takes one of the few calls that need no owner, if one is free."""
         free = [
             replica
             for replica in self._list_candidates(call, tried)
             if self._direct[replica.address] < DIRECT_LIMIT
         ]
         if not free or call.deadline.has_passed:
-            raise slots.refusal(
-                outcomes.Cause.OWNER_UNREACHABLE,
-                f'no owner of a replica of {call.service.target} answers:'
-                f' {refused.message}',
-            )
+            return None
         replica = self._chooser.choose(free, DIRECT_LIMIT, call.prefix)
         self._direct[replica.address] += 1
 
@@ -257,4 +286,4 @@
     for error in refused:
         if not _is_owner_unreachable(error):
             return error
-    return refused[0]
+    return refused[-1]
