Stop work for callers that have gone and leave silent replicas

A caller that asked for a whole answer was not noticed to have gone, and idempotent calls waited until their deadline for a replica that hangs.

--- a/src/lentildeal/_internal/callers/calls.py
+++ b/src/lentildeal/_internal/callers/calls.py
@@ -5,10 +5,15 @@
 import dataclasses
 import typing
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.utils import clock
 
+# Counted like a cause of waiting; nobody is left to read it.
+CALLER_GONE = 'caller_gone'
+
 
 @dataclasses.dataclass(frozen=True)
 class Call:
@@ -21,6 +26,7 @@
         target: The target that answers.
         deadline: When the caller gives up.
         prefix: Prompt of a completion, for the prefix cache.
+        is_caller_gone: Whether nobody waits for the answer any more.
     """
 
     request_id: ids.RequestId
@@ -29,6 +35,24 @@
     target: text_module.Target
     deadline: clock.Deadline
     prefix: typing.Optional[str] = None
+    is_caller_gone: typing.Callable[[], bool] = lambda: False
+
+    def check_wanted(self) -> None:
+        """Stops a call before anything is sent to a target.
+
+        Raises:
+            exceptions.NotRunError: The deadline has passed or the caller
+                has gone.
+        """
+        if self.deadline.has_passed:
+            raise exceptions.NotRunError(
+                'the deadline has passed',
+                cause=outcomes.Cause.DEADLINE.value,
+            )
+        if self.is_caller_gone():
+            raise exceptions.NotRunError(
+                'the caller has gone', cause=CALLER_GONE
+            )
 
 
 @dataclasses.dataclass
--- a/src/lentildeal/_internal/callers/completions.py
+++ b/src/lentildeal/_internal/callers/completions.py
@@ -12,11 +12,9 @@
 from lentildeal._internal.callers import calls
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
-from lentildeal._internal.models import outcomes
 from lentildeal._internal.network import http_server
 from lentildeal._internal.network import sse
 from lentildeal._internal.platform import base
-from lentildeal._internal.utils import clock
 
 MAX_TOKENS_DEFAULT = 256
 LARGEST_MAX_TOKENS = 1_000_000
@@ -88,6 +86,9 @@
 
     def __next__(self) -> base.TokenChunk:
         """Returns the next chunk; the end means that the answer is whole."""
+        if self._is_open and self._call.is_caller_gone():
+            self.close()
+            raise exceptions.MayHaveRunError('the caller has gone')
         chunk, self._first = self._first, None
         if chunk is None and self._is_open:
             chunk = self._read()
@@ -222,15 +223,3 @@
 
 def _finish_reason(tokens: int, max_tokens: int) -> str:
     return 'length' if tokens >= max_tokens else 'stop'
-
-
-def check_deadline(deadline: clock.Deadline) -> None:
-    """Refuses a call whose time is over before anything is sent.
-
-    Raises:
-        exceptions.NotRunError: The deadline has passed.
-    """
-    if deadline.has_passed:
-        raise exceptions.NotRunError(
-            'the deadline has passed', cause=outcomes.Cause.DEADLINE.value
-        )
--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import itertools
 import typing
 
 import eventlet
+import eventlet.hubs
 import prometheus_client
 
 from lentildeal._internal.callers import attempts
@@ -130,7 +132,8 @@
                     raise sent_error from None
                 raise
             try:
-                return self._run_once(call, attempt, function, number)
+                with self._watch_silence(call, attempt, tried, budget):
+                    return self._run_once(call, attempt, function, number)
             except exceptions.NotRunError as error:
                 tried.add(attempt.replica.address)
                 if not self._may_connect_elsewhere(call, tried):
@@ -144,6 +147,37 @@
                 if not self._may_repeat(call, attempt, error, budget):
                     raise
 
+    @contextlib.contextmanager
+    def _watch_silence(self, call, attempt, tried, budget):
+        """Ends an attempt at a silent replica while a retry can help.
+
+        After half of the time without any token or answer, idempotent work
+        is tried at another replica, if there is one and the budget has a
+        retry. Otherwise the attempt keeps all of its time.
+        """
+        waiter = eventlet.getcurrent()
+
+        def give_up() -> None:
+            if attempt.usage.tokens == 0 and budget.try_spend():
+                waiter.throw(
+                    _SilentReplicaError(
+                        f'{attempt.replica.address} is silent for half of'
+                        ' the time'
+                    )
+                )
+
+        untried = _count_replicas(call) - len(tried)
+        if not call.service.idempotent or untried < 2:
+            yield
+            return
+        timer = eventlet.hubs.get_hub().schedule_call_global(
+            call.deadline.remaining_s / 2, give_up
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def _run_once(self, call, attempt, function: Run[T], number: int) -> T:
         kind = 'first' if number == 1 else 'retry'
         _attempts_total.labels(call.service.target, kind).inc()
@@ -162,13 +196,16 @@
         A failed connect costs a target nothing, so the retry budget is not
         charged; the number of replicas bounds it.
         """
-        count = sum(len(group) for group in call.target.replicas.values())
-        return len(tried) < count and not call.deadline.has_passed
+        return (
+            len(tried) < _count_replicas(call) and not call.deadline.has_passed
+        )
 
     def _may_repeat(self, call, attempt, error, budget) -> bool:
         if isinstance(error, exceptions.RanAndFailedError):
             if error.status < attempts.FIRST_FAULT_STATUS:
                 return False
+        if isinstance(error, _SilentReplicaError):
+            return True
         is_allowed = retries.may_retry(
             is_idempotent=call.service.idempotent,
             were_bytes_sent=True,
@@ -281,6 +318,14 @@
         return [chooser.Replica(domains[a], a) for a in usable]
 
 
+class _SilentReplicaError(exceptions.MayHaveRunError):
+    """Ends an attempt for which a retry has been taken from the budget."""
+
+
+def _count_replicas(call: calls.Call) -> int:
+    return sum(len(group) for group in call.target.replicas.values())
+
+
 def _is_owner_unreachable(error: exceptions.NotRunError) -> bool:
     return error.cause == outcomes.Cause.OWNER_UNREACHABLE.value
 
--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -66,6 +66,7 @@
         headers: typing.Optional[typing.Mapping[str, str]] = None,
         body: bytes = b'',
         deadline: typing.Optional[clock.Deadline] = None,
+        is_caller_gone: typing.Callable[[], bool] = lambda: False,
     ) -> ServiceAnswer:
         """Calls a plain service.
 
@@ -76,6 +77,7 @@
             headers: Request headers.
             body: Request body.
             deadline: When the answer is wanted; default from the text.
+            is_caller_gone: Whether the answer is no longer wanted.
 
         Raises:
             exceptions.NotFoundError: There is no such plain service.
@@ -84,7 +86,10 @@
             exceptions.RanAndFailedError: The service reported a fault.
         """
         call = self._make_call(
-            service, text_module.TargetKind.SERVICE, deadline
+            service,
+            text_module.TargetKind.SERVICE,
+            deadline,
+            is_caller_gone=is_caller_gone,
         )
         sent = headers or {}
         path = path.lstrip('/')
@@ -131,6 +136,7 @@
             request.headers,
             request.body,
             read_deadline(request),
+            request.is_caller_gone,
         )
         return http_server.Response(answer.status, answer.headers, answer.body)
 
@@ -141,6 +147,7 @@
             text_module.TargetKind.ENGINE,
             read_deadline(request),
             body.prompt,
+            request.is_caller_gone,
         )
         is_keyed = _find_key(request.headers) is not None
         if body.is_streamed and (call.service.idempotent or not is_keyed):
@@ -174,7 +181,7 @@
         attempt: attempts.Attempt,
         body: completions.CompletionBody,
     ) -> completions.EngineStream:
-        completions.check_deadline(call.deadline)
+        call.check_wanted()
         # Attempts have different ids, so that a cancel of one that was given
         # up can not end another one.
         request_id = ids.RequestId(f'{call.request_id}-{secrets.token_hex(4)}')
@@ -204,6 +211,7 @@
         kind: text_module.TargetKind,
         deadline: typing.Optional[clock.Deadline],
         prefix: typing.Optional[str] = None,
+        is_caller_gone: typing.Callable[[], bool] = lambda: False,
     ) -> calls.Call:
         text = self._config.text
         if text is None:
@@ -226,6 +234,7 @@
             target=target,
             deadline=deadline,
             prefix=prefix,
+            is_caller_gone=is_caller_gone,
         )
 
 
--- a/src/lentildeal/_internal/callers/services.py
+++ b/src/lentildeal/_internal/callers/services.py
@@ -53,10 +53,7 @@
             exceptions.MayHaveRunError: No whole answer came in time.
             exceptions.RanAndFailedError: The service reported a fault.
         """
-        if call.deadline.has_passed:
-            raise exceptions.NotRunError(
-                'the deadline has passed', cause='deadline'
-            )
+        call.check_wanted()
         url = f'http://{attempt.replica.address}/{path}'
         sent = _select_headers(headers)
         sent[DEADLINE_HEADER] = str(int(call.deadline.remaining_s * 1000))
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -33,6 +33,7 @@
         parameters: Values of the placeholders of the route's pattern.
         headers: Values by lower-case name.
         body: Whole body.
+        socket: Connection of the caller, None in tests without one.
     """
 
     method: str
@@ -41,6 +42,21 @@
     parameters: dict[str, str]
     headers: dict[str, str]
     body: bytes = b''
+    socket: typing.Any = None
+
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed the connection."""
+        if self.socket is None:
+            return False
+        try:
+            data = self.socket.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return data == b''
 
     def read_json(self) -> typing.Any:
         """Decodes the body.
@@ -218,6 +234,7 @@
             parameters={},
             headers=headers,
             body=body,
+            socket=environ['eventlet.input'].get_socket(),
         )
 
 
--- a/tests/functional/test_calls.py
+++ b/tests/functional/test_calls.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import random
+import signal
 import socket
 
 import pytest
@@ -318,12 +319,45 @@
     assert complete(daemon, 'y', 4)[0] == 200
 
 
-def test_death_of_the_owner_loses_no_later_call(engines):
-    """A replica that can't be used after its queue's owner has died."""
+def test_caller_of_whole_answer_that_goes_away_ends_the_run(engines):
+    """A long generation for a caller that has gone and asked for no stream."""
+    engines.engine.set_faults(slow_factor=5.0)
+    daemon = next(iter(engines.daemons.values()))
+    connection = http.client.HTTPConnection(daemon.address)
+    body = {'model': 'gen', 'prompt': 'left', 'max_tokens': 500}
+    connection.request('POST', '/v1/completions', json.dumps(body).encode())
+
+    def state():
+        runs = engines.engine.read_journal()['runs']
+        return [r['state'] for r in runs if r['prompt'] == 'left']
+
+    processes.wait_for(state, 'the generation runs')
+    connection.close()
+    processes.wait_for(lambda: state() == ['cancelled'], 'it is cancelled')
+
+
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGSTOP])
+def test_lost_owner_loses_no_later_call(engines, number):
+    """A replica that can't be used after its queue's owner is gone."""
     first, second = engines.daemons.values()
-    first.kill()
-    for number in range(5):
+    first.signal(number)
+    for turn in range(5):
         processes.wait_for(
-            lambda: complete(second, f'after {number}', 4)[0] == 200,
+            lambda: complete(second, f'after {turn}', 4)[0] == 200,
             'a call is answered',
         )
+
+
+def test_silent_replica_costs_no_idempotent_call(plain):
+    """A call that waits until its deadline for a replica that hangs."""
+    plain.replicas[0].set_faults(service_ms=30_000)
+    daemon = next(iter(plain.daemons.values()))
+
+    def attempt(number):
+        identity = f'silent-{number}'
+        return call(daemon, 'many', identity, X_Deadline_Ms='4000')[0]
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        statuses = list(pool.map(attempt, range(40)))
+    plain.replicas[0].set_faults(service_ms=0)
+    assert statuses == [200] * 40
