Let the penalty of failing replicas follow the latest outcomes

A share over the last 20 outcomes let a replica with old failures look as bad as one that fails now: 3 of 400 idempotent calls were lost in test_failing_replica_costs_no_idempotent_call.

--- a/src/lentildeal/_internal/routing/health.py
+++ b/src/lentildeal/_internal/routing/health.py
@@ -4,6 +4,7 @@
 
 import collections
 import enum
+import math
 import random
 import statistics
 import typing
@@ -24,6 +25,11 @@
 LATENCY_WEIGHT = 0.2
 # Extra load of a replica whose requests all fail, relative to its limit.
 FAILURE_PENALTY = 2.0
+# Three failures in a row make two thirds of the penalty, and three successes
+# take two thirds of it away.
+FAILURE_RATE_WEIGHT = 0.3
+# Without new outcomes the penalty fades, so that the replica is tried again.
+PENALTY_DECAY_S = 10.0
 # At most this share of a target's replicas is ejected, so that a fault of
 # this daemon's own network does not take the whole target away.
 LARGEST_EJECTED_SHARE = 1 / 3
@@ -51,6 +57,8 @@
         self.recent: collections.deque[tuple[float, bool]] = collections.deque(
             maxlen=RECENT_OUTCOMES
         )
+        self.failure_rate = 0.0
+        self.failure_rate_at_s = 0.0
         self.unit_s: typing.Optional[float] = None
         self.measurements = 0
         self.ejections = 0
@@ -115,7 +123,7 @@
         """
         record = self._get(address)
         record.failures_in_row = 0
-        record.recent.append((self._now(), True))
+        self._note_outcome(record, True)
         record.measurements += 1
         if record.unit_s is None:
             record.unit_s = unit_s
@@ -133,7 +141,7 @@
         """Takes in a request without a whole answer."""
         record = self._get(address)
         record.failures_in_row += 1
-        record.recent.append((self._now(), False))
+        self._note_outcome(record, False)
         if self._is_failing(record, self.state_of(address)):
             self._try_eject(address, replicas)
 
@@ -143,7 +151,13 @@
         A failing replica that can't be ejected, because a third of the
         target is, is still avoided as long as others fail less.
         """
-        return FAILURE_PENALTY * self._failure_share(self._get(address))
+        record = self._get(address)
+        age_s = self._now() - record.failure_rate_at_s
+        return (
+            FAILURE_PENALTY
+            * record.failure_rate
+            * math.exp(-age_s / PENALTY_DECAY_S)
+        )
 
     def is_overdue(
         self,
@@ -161,6 +175,13 @@
     def _get(self, address: ids.ReplicaAddress) -> _Record:
         return self._records.setdefault(address, _Record())
 
+    def _note_outcome(self, record: _Record, is_success: bool) -> None:
+        now_s = self._now()
+        record.recent.append((now_s, is_success))
+        error = (0.0 if is_success else 1.0) - record.failure_rate
+        record.failure_rate += FAILURE_RATE_WEIGHT * error
+        record.failure_rate_at_s = now_s
+
     def _is_usable(self, address: ids.ReplicaAddress) -> bool:
         state = self.state_of(address)
         if state is HealthState.PROBATION:
