--- /dev/null
+++ b/bench/calls.py
@@ -0,0 +1,170 @@
+"""Live calls through real daemons and stand-ins."""
+
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import contextlib
+import time
+import typing
+
+from bench import registry
+from tests.lib import builders
+from tests.lib import federation
+from tests.lib import processes
+
+CALLERS = 400
+SERVICE_MS = 50
+CONCURRENCY = 4
+REPLICAS = 3
+CAPACITY_PER_S = REPLICAS * CONCURRENCY * 1000 / SERVICE_MS
+DEADLINE_MS = 500
+PHASE_S = 6.0
+WARM_UP_S = 2.0
+
+
+class Load(typing.NamedTuple):
+    """Answers of one phase.
+
+    Attributes:
+        on_time: Whole answers within the deadline, a second.
+        refusal_s: Median time to a refusal, 0 without one.
+        latencies_s: Times of whole answers, sorted.
+        statuses: Count by HTTP status.
+    """
+
+    on_time: float
+    refusal_s: float
+    latencies_s: list[float]
+    statuses: collections.Counter
+
+
+@contextlib.contextmanager
+def start_federation(
+    service_ms: float = SERVICE_MS, replicas: int = REPLICAS
+) -> typing.Iterator[federation.Federation]:
+    """Two daemons in front of a plain, idempotent service."""
+    with federation.Federation() as started:
+        made = started.start_services(
+            {'a': replicas}, '--service-ms', service_ms
+        )
+        started.replicas = made['a']
+        target = builders.make_service_target(
+            federation.list_addresses(made), concurrency=CONCURRENCY
+        )
+        service = {
+            'club': 'c',
+            'target': 't',
+            'idempotent': True,
+            'deadline_ms': DEADLINE_MS,
+        }
+        started.publish(builders.make_text({'t': target}, {'s': service}))
+        started.add_daemons({'a': 2})
+        # Owners act only after their view of the members has settled.
+        drive(started, 20, 6.0)
+        yield started
+
+
+def drive(started, rate_per_s: float, seconds: float) -> Load:
+    """Sends calls at a fixed rate, whatever becomes of them."""
+    daemons = list(started.daemons.values())
+    begin_s = time.monotonic() + 0.1
+    count = int(rate_per_s * seconds)
+
+    def attempt(number: int) -> tuple[int, float]:
+        at_s = begin_s + number / rate_per_s
+        time.sleep(max(0.0, at_s - time.monotonic()))
+        sent_s = time.monotonic()
+        try:
+            status, _ = processes.call(
+                'POST',
+                f'{daemons[number % 2].url}/v1/services/s/x',
+                {'call': f'{number}'},
+            )
+        except OSError:
+            status = 0
+        return status, time.monotonic() - sent_s
+
+    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+        answers = list(pool.map(attempt, range(count)))
+    spent_s = max(seconds, time.monotonic() - begin_s - DEADLINE_MS / 1000)
+    latencies = sorted(s for status, s in answers if status == 200)
+    refusals = sorted(s for status, s in answers if status == 503)
+    on_time = sum(s <= DEADLINE_MS / 1000 for s in latencies)
+    return Load(
+        on_time / spent_s,
+        refusals[len(refusals) // 2] if refusals else 0.0,
+        latencies,
+        collections.Counter(status for status, _ in answers),
+    )
+
+
+@registry.measure('overload')
+def measure_overload() -> typing.Iterable[tuple[str, registry.Result]]:
+    """Goodput at twice the capacity relative to that at capacity."""
+    with start_federation() as started:
+        drive(started, CAPACITY_PER_S, WARM_UP_S)
+        full = drive(started, CAPACITY_PER_S, PHASE_S)
+        over = drive(started, 2 * CAPACITY_PER_S, PHASE_S)
+    yield (
+        'overload.goodput',
+        registry.Result(
+            over.on_time / full.on_time,
+            'ratio',
+            bound=0.95,
+            is_upper=False,
+        ),
+    )
+    yield (
+        'overload.refusal-time',
+        registry.Result(
+            over.refusal_s * 1000, 'ms', DEADLINE_MS, note='deadline'
+        ),
+    )
+
+
+@registry.measure('retries')
+def measure_retries() -> typing.Iterable[tuple[str, registry.Result]]:
+    """Attempts for each request while 30 % of calls fail everywhere."""
+    with start_federation(service_ms=5.0) as started:
+        for replica in started.replicas:
+            replica.set_faults(errors=0.3)
+        before = count_runs(started)
+        load = drive(started, 100, PHASE_S)
+        attempts = count_runs(started) - before
+    requests = sum(load.statuses.values())
+    yield (
+        'retries.attempts-per-request',
+        registry.Result(attempts / requests, 'ratio', bound=1.10),
+    )
+
+
+@registry.measure('slow-replica')
+def measure_slow_replica() -> typing.Iterable[tuple[str, registry.Result]]:
+    """Latency after one of six replicas turns five times slower."""
+    with start_federation(replicas=6) as started:
+        rate = CAPACITY_PER_S / 2
+        drive(started, rate, WARM_UP_S)
+        before = drive(started, rate, PHASE_S)
+        started.replicas[0].set_faults(service_ms=4 * SERVICE_MS)
+        drive(started, rate, WARM_UP_S)
+        after = drive(started, rate, PHASE_S)
+    yield (
+        'slow-replica.p99',
+        registry.Result(
+            percentile(after.latencies_s, 0.99) * 1000,
+            'ms',
+            percentile(before.latencies_s, 0.99) * 1000,
+            note='before the replica turned slow',
+        ),
+    )
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Value below which a share of the sorted values lies."""
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def count_runs(started) -> int:
+    """Calls that truly ran at the replicas."""
+    return sum(len(r.read_journal()['calls']) for r in started.replicas)
