--- /dev/null
+++ b/src/lentildeal/_internal/orders/pacing.py
@@ -0,0 +1,71 @@
+"""When a replica may begin to load a new version.
+
+Owners do not coordinate: each computes the same order of all replicas of a
+target and starts its own when their turn comes. The pool is thereby loaded
+in a stagger instead of all at once, and the weight store's rate limit is met
+by a steady flow of fetches instead of a burst.
+"""
+
+from __future__ import annotations
+
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.utils import hashing
+
+# Time from the announcement until the whole pool is on a new version.
+POOL_LIMIT_S = 13.0
+# Part of it that is kept for the announcement (heartbeats, 1 s), the
+# read-back (1 s) and one repeated order.
+RESERVE_S = 4.0
+# Assumed duration of a load before one has been seen.
+FIRST_LOAD_S = 2.0
+# Weight of a new observation in the mean.
+LOAD_GAIN = 0.25
+# Share of a target's replicas that one owner loads at once.
+OWNED_SHARE = 0.5
+
+
+class LoadTimes:
+    """Mean duration of the loads seen by this daemon."""
+
+    def __init__(self) -> None:
+        self._mean_s = FIRST_LOAD_S
+
+    @property
+    def mean_s(self) -> float:
+        """Mean duration, in seconds."""
+        return self._mean_s
+
+    def observe(self, seconds: float) -> None:
+        """Records the time from an order to its read-back."""
+        self._mean_s += LOAD_GAIN * (seconds - self._mean_s)
+
+
+def stagger_window_s(load_s: float) -> float:
+    """Time over which the starts of a pool are spread.
+
+    Twice the duration of a load keeps about half of the pool out of a load
+    at any time. Slow loads shorten the window, because the pool has to be
+    done within its limit.
+    """
+    return max(0.0, min(2 * load_s, POOL_LIMIT_S - RESERVE_S - load_s))
+
+
+def start_offset_s(
+    address: ids.ReplicaAddress,
+    pool: typing.Collection[ids.ReplicaAddress],
+    load_s: float,
+) -> float:
+    """Delay of a replica's load after its owner hears of the version.
+
+    The order is by hash, which mixes the failure domains.
+    """
+    order = sorted(pool, key=hashing.hash_text)
+    position = order.index(address) if address in order else 0
+    return stagger_window_s(load_s) * position / max(1, len(order))
+
+
+def limit_at_once(owned: int) -> int:
+    """Most replicas of one target that an owner loads at once."""
+    return max(1, round(OWNED_SHARE * owned))
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/attempts.py
@@ -0,0 +1,110 @@
+"""Running attempts of a step and their leases."""
+
+from __future__ import annotations
+
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.rollouts import entries
+
+# An attempt that its owner has not reported for this long is lost, as a
+# multiple of the reporting interval and as a lower bound in seconds.
+LEASE_REPORTS = 4
+LEASE_MIN_S = 5.0
+# Size of one attempt in a progress notice, in bytes, and the rate that the
+# notices of a step may take, in bytes a second (of 23 KB/s for all control
+# traffic of a daemon).
+PROGRESS_BYTES = 9
+PROGRESS_BYTES_PER_S = 12_000
+REPORT_MIN_S = 0.5
+
+
+class AttemptTable:
+    """Running attempts by their number, which is never used again."""
+
+    def __init__(self) -> None:
+        self._attempts: dict[int, entries.Attempt] = {}
+        self._next_number = 1
+
+    def __len__(self) -> int:
+        return len(self._attempts)
+
+    def __iter__(self) -> typing.Iterator[entries.Attempt]:
+        return iter(list(self._attempts.values()))
+
+    @property
+    def report_s(self) -> float:
+        """Interval of progress notices that keeps them within their rate."""
+        return max(
+            REPORT_MIN_S,
+            len(self._attempts) * PROGRESS_BYTES / PROGRESS_BYTES_PER_S,
+        )
+
+    def start(
+        self,
+        entry: entries.Entry,
+        instance: ids.InstanceId,
+        address: ids.ReplicaAddress,
+        now_s: float,
+    ) -> entries.Attempt:
+        """Adds an attempt at a sample."""
+        attempt = entries.Attempt(
+            number=self._next_number,
+            entry=entry,
+            instance=instance,
+            address=address,
+            started_s=now_s,
+            heard_s=now_s,
+        )
+        self._next_number += 1
+        self._attempts[attempt.number] = attempt
+        entry.attempts[attempt.number] = attempt
+        return attempt
+
+    def find(
+        self, number: int, instance: ids.InstanceId
+    ) -> typing.Optional[entries.Attempt]:
+        """Finds an attempt that an instance runs and that still counts."""
+        attempt = self._attempts.get(number)
+        if attempt is None or attempt.instance != instance:
+            return None
+        return attempt
+
+    def drop(self, attempt: entries.Attempt) -> None:
+        """Removes an attempt; its later result does not count."""
+        entry = attempt.entry
+        entry.reached = max(entry.reached, attempt.tokens)
+        del self._attempts[attempt.number]
+        del entry.attempts[attempt.number]
+
+    def list_of(self, instance: ids.InstanceId) -> list[entries.Attempt]:
+        """Attempts that an instance runs."""
+        return [a for a in self if a.instance == instance]
+
+    def list_expired(self, now_s: float) -> list[entries.Attempt]:
+        """Attempts whose lease has run out."""
+        lease_s = max(LEASE_MIN_S, LEASE_REPORTS * self.report_s)
+        return [a for a in self if now_s - a.heard_s > lease_s]
+
+    def report(
+        self,
+        instance: ids.InstanceId,
+        reports: typing.Iterable[tuple[int, int, int]],
+        now_s: float,
+    ) -> tuple[int, ...]:
+        """Records progress and renews leases.
+
+        Returns:
+            Numbers of attempts that do not count any more.
+        """
+        unknown = []
+        for number, tokens, oldest in reports:
+            attempt = self.find(number, instance)
+            if attempt is None:
+                unknown.append(number)
+                continue
+            attempt.heard_s = now_s
+            attempt.tokens = tokens
+            if oldest >= 0:
+                attempt.oldest_version = ids.Version(oldest)
+        return tuple(unknown)
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/backlogs.py
@@ -0,0 +1,139 @@
+"""What an owner knows of the trainers' backlogs, and whose turn it is."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from lentildeal._internal.config import schema
+from lentildeal._internal.models import ids
+from lentildeal._internal.rollouts import messages
+from lentildeal._internal.routing import fairness
+
+GetText = typing.Callable[[], typing.Optional[schema.FederationText]]
+SMALLEST_WEIGHT = 0.001
+
+
+@dataclasses.dataclass
+class KnownBacklog:
+    """A notice and when its step may be asked again.
+
+    Attributes:
+        notice: Latest notice.
+        coordinator: Instance that sent it.
+        not_before_s: Monotonic time before which there is nothing to pull.
+    """
+
+    notice: messages.Backlog
+    coordinator: ids.InstanceId
+    not_before_s: float = 0.0
+
+
+class BacklogBook:
+    """Backlogs by step and the weighted fair order between trainers.
+
+    Slots are divided between clubs by their weight, and the part of a club
+    between its trainers by their share of it. Both orders share out what
+    is not used.
+    """
+
+    def __init__(self, get_text: GetText) -> None:
+        self._get_text = get_text
+        self._known: dict[messages.StepKey, KnownBacklog] = {}
+        # One order for each model: engines of different models are not
+        # competed for, and a pick among some of the backlogged clubs would
+        # end the credit of the others.
+        self._clubs: dict[ids.ModelName, fairness.FairShare] = {}
+        self._trainers: dict[tuple, fairness.FairShare] = {}
+
+    def __iter__(self) -> typing.Iterator[KnownBacklog]:
+        return iter(list(self._known.values()))
+
+    def note(
+        self, coordinator: ids.InstanceId, notice: messages.Backlog
+    ) -> None:
+        """Records a notice; the highest attachment of a trainer counts."""
+        for key in list(self._known):
+            if key.trainer == notice.key.trainer:
+                if key.number > notice.key.number:
+                    return
+                del self._known[key]
+        if notice.count:
+            self._known[notice.key] = KnownBacklog(notice, coordinator)
+
+    def forget(self, coordinator: ids.InstanceId) -> None:
+        """Drops the backlogs of a lost coordinator."""
+        for known in self:
+            if known.coordinator == coordinator:
+                del self._known[known.notice.key]
+
+    def hold(self, key: messages.StepKey, until_s: float) -> None:
+        """Stops pulling from a step until a time or its next notice."""
+        if key in self._known:
+            self._known[key].not_before_s = until_s
+
+    def choose(
+        self, model: ids.ModelName, version: ids.Version, now_s: float
+    ) -> typing.Optional[KnownBacklog]:
+        """Chooses whose sample a replica generates next."""
+        ready = [
+            known
+            for known in self
+            if known.notice.model == model
+            and known.notice.minimum_version <= version
+            and known.not_before_s <= now_s
+        ]
+        if not ready:
+            return None
+        clubs = {known.notice.club for known in ready}
+        club = self._order_of_clubs(model).pick(clubs)
+        by_trainer = {
+            known.notice.key.trainer: known
+            for known in ready
+            if known.notice.club == club
+        }
+        return by_trainer[
+            self._order_of_trainers(model, club).pick(by_trainer)
+        ]
+
+    def is_held_by_version(
+        self, model: ids.ModelName, version: ids.Version
+    ) -> bool:
+        """Whether a backlog waits for a newer version on a replica."""
+        return any(
+            known.notice.model == model
+            and known.notice.minimum_version > version
+            for known in self
+        )
+
+    def charge(self, notice: messages.Backlog, tokens: float) -> None:
+        """Charges generated tokens; a negative number corrects."""
+        model, club = notice.model, notice.club
+        self._order_of_clubs(model).charge(club, tokens)
+        trainers = self._order_of_trainers(model, club)
+        trainers.charge(notice.key.trainer, tokens)
+
+    def _order_of_clubs(self, model: ids.ModelName) -> fairness.FairShare:
+        if model not in self._clubs:
+            self._clubs[model] = fairness.FairShare(self._weight_of_club)
+        return self._clubs[model]
+
+    def _order_of_trainers(
+        self, model: ids.ModelName, club: ids.ClubName
+    ) -> fairness.FairShare:
+        if (model, club) not in self._trainers:
+            order = fairness.FairShare(self._weight_of_trainer)
+            self._trainers[model, club] = order
+        return self._trainers[model, club]
+
+    def _weight_of_club(self, club: ids.ClubName) -> float:
+        text = self._get_text()
+        if text is None or club not in text.clubs:
+            return SMALLEST_WEIGHT
+        return text.clubs[club].weight
+
+    def _weight_of_trainer(self, trainer: ids.TrainerName) -> float:
+        text = self._get_text()
+        if text is None or trainer not in text.trainers:
+            return SMALLEST_WEIGHT
+        return text.trainers[trainer].share_of_club
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/causes.py
@@ -0,0 +1,89 @@
+"""Names the cause why a step waits."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.rollouts import entries
+from lentildeal._internal.rollouts import steps
+
+# A cause that an owner reported is out of date after this time, in seconds.
+REPORT_LIFETIME_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class StepView:
+    """One open step, for status and reports.
+
+    Attributes:
+        trainer: Trainer that is attached.
+        step: Step that is open.
+        requested: Samples to deliver under this attachment.
+        delivered: Samples written to the stream.
+        running: Samples that engines generate now.
+        waiting: Samples that no engine has taken.
+        cause: Why the step waits, None if all of its samples are delivered.
+    """
+
+    trainer: ids.TrainerName
+    step: ids.StepNumber
+    requested: int
+    delivered: int
+    running: int
+    waiting: int
+    cause: typing.Optional[outcomes.Cause]
+
+
+class OwnerCauses:
+    """Causes that owners report for not pulling."""
+
+    def __init__(self) -> None:
+        self._reports: dict[ids.InstanceId, tuple[str, float]] = {}
+
+    def note(self, instance: ids.InstanceId, cause: str, now_s: float) -> None:
+        """Records what an owner reports; "" means that it pulls."""
+        self._reports[instance] = (cause, now_s)
+
+    def find_main(self, now_s: float) -> typing.Optional[outcomes.Cause]:
+        """The most frequent cause among recent reports, None without any."""
+        counts = collections.Counter(
+            cause
+            for cause, heard_s in self._reports.values()
+            if cause and now_s - heard_s <= REPORT_LIFETIME_S
+        )
+        if not counts:
+            return None
+        return outcomes.Cause(counts.most_common(1)[0][0])
+
+    def is_any_recent(self, now_s: float) -> bool:
+        """Whether any owner has reported of late."""
+        return any(
+            now_s - heard_s <= REPORT_LIFETIME_S
+            for _, heard_s in self._reports.values()
+        )
+
+
+def find_cause(
+    state: steps.StepState, owners: OwnerCauses, now_s: float
+) -> typing.Optional[outcomes.Cause]:
+    """Names what a step waits for; every incomplete step has a cause."""
+    if state.is_complete:
+        return None
+    if state.is_generation_held:
+        return outcomes.Cause.SCORING
+    if state.count(entries.SampleState.WAITING):
+        reported = owners.find_main(now_s)
+        if reported is not None:
+            return reported
+        if owners.is_any_recent(now_s):
+            return outcomes.Cause.TARGET_FULL
+        return outcomes.Cause.OWNER_UNREACHABLE
+    if state.count(entries.SampleState.RUNNING):
+        if any(a.entry.is_stale_rerun for a in state.attempts):
+            return outcomes.Cause.STALE
+        return outcomes.Cause.STRAGGLER
+    return outcomes.Cause.SCORING
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -0,0 +1,321 @@
+"""Coordinator of one step: hands samples out and takes results in."""
+
+from __future__ import annotations
+
+import typing
+
+import eventlet
+from loguru import logger
+import prometheus_client
+
+from lentildeal._internal.config import schema
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import members
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.models import samples
+from lentildeal._internal.rollouts import causes
+from lentildeal._internal.rollouts import delivery
+from lentildeal._internal.rollouts import entries
+from lentildeal._internal.rollouts import messages
+from lentildeal._internal.rollouts import scoring
+from lentildeal._internal.rollouts import steps
+from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import wakeup
+
+# Interval of lease checks, in seconds.
+TICK_S = 1.0
+# Interval at which all owners are told the backlog again, in seconds. With
+# 350 owners and 200 bytes a notice this takes 14 KB/s.
+RETELL_S = 5.0
+
+_results_total = prometheus_client.Counter(
+    'lentildeal_rollout_results_total',
+    'Results of attempts by what became of them.',
+    ['trainer', 'result'],
+)
+_lost_total = prometheus_client.Counter(
+    'lentildeal_rollout_attempts_lost_total',
+    'Attempts whose owner was lost or fell silent.',
+    ['trainer'],
+)
+
+
+class StepCoordinator:
+    """One attachment of a trainer to a step."""
+
+    def __init__(
+        self,
+        kernel: typing.Any,
+        key: messages.StepKey,
+        trainer: schema.Trainer,
+        state: steps.StepState,
+    ) -> None:
+        self._kernel = kernel
+        self._membership = kernel.plugin('membership')
+        self._key = key
+        self._trainer = trainer
+        self._state = state
+        self._owner_causes = causes.OwnerCauses()
+        self._changed = wakeup.Wakeup()
+        self._told: dict[ids.InstanceId, messages.Backlog] = {}
+        self._told_all_s = clock.monotonic_s()
+        self._is_open = True
+        self._scorer: typing.Optional[scoring.Scorer] = None
+        self._stream = delivery.EventStream(
+            state, self._changed, self._end_stream
+        )
+
+    @property
+    def key(self) -> messages.StepKey:
+        """Trainer, step and attachment number."""
+        return self._key
+
+    @property
+    def trainer(self) -> schema.Trainer:
+        """Published settings of the trainer."""
+        return self._trainer
+
+    @property
+    def state(self) -> steps.StepState:
+        """Where each sample is."""
+        return self._state
+
+    @property
+    def stream(self) -> delivery.EventStream:
+        """Lines for the trainer."""
+        return self._stream
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the trainer still reads the stream."""
+        return self._is_open
+
+    @property
+    def attachment(self) -> members.Attachment:
+        """What other daemons are told."""
+        return members.Attachment(
+            self._key.trainer,
+            self._key.step,
+            self._key.number,
+            self._state.version,
+        )
+
+    @property
+    def view(self) -> causes.StepView:
+        """Figures for status and reports."""
+        state = self._state
+        return causes.StepView(
+            trainer=self._key.trainer,
+            step=self._key.step,
+            requested=state.requested,
+            delivered=state.delivered,
+            running=state.count(entries.SampleState.RUNNING),
+            waiting=state.count(entries.SampleState.WAITING),
+            cause=causes.find_cause(
+                state, self._owner_causes, clock.monotonic_s()
+            ),
+        )
+
+    def start(self, kept: typing.Iterable[samples.Sample] = ()) -> None:
+        """Begins to hand out samples.
+
+        Args:
+            kept: Samples that an earlier attachment finished here and that
+                the trainer may not have received.
+        """
+        if self._trainer.scoring is not None:
+            self._scorer = scoring.Scorer(
+                self._kernel.plugin('callers'),
+                self._trainer.scoring,
+                self._take_score,
+            )
+        for sample in kept:
+            if self._state.adopt(sample) and sample.score is None:
+                self._request_score(sample)
+        self._kernel.spawn('step', self._run_ticks)
+
+    def close(self, reason: str) -> None:
+        """Ends the stream early and withdraws all work."""
+        self._stream.abort(reason)
+        self._end_stream()
+
+    def pull(
+        self, instance: ids.InstanceId, message: messages.Pull
+    ) -> messages.Items:
+        """Hands a sample to an owner."""
+        if not self._is_open:
+            return messages.Items()
+        answer = self._state.pull(
+            instance, message.address, message.version, clock.monotonic_s()
+        )
+        if answer.item is None:
+            return messages.Items(cause=answer.cause.value)
+        return messages.Items(
+            (answer.item,), '', self._state.attempts.report_s
+        )
+
+    def take_result(
+        self, instance: ids.InstanceId, message: messages.Done
+    ) -> None:
+        """Takes a complete result."""
+        sample, unneeded = self._state.complete(
+            message.attempt, instance, message.text, tuple(message.segments)
+        )
+        result = 'dropped' if sample is None else 'kept'
+        _results_total.labels(self._key.trainer, result).inc()
+        self._cancel(unneeded)
+        if sample is not None and self._is_open:
+            self._request_score(sample)
+        self._apply_change()
+
+    def take_failure(
+        self, instance: ids.InstanceId, message: messages.Failed
+    ) -> None:
+        """Takes back a sample whose attempt has failed."""
+        cause = outcomes.Cause(message.cause)
+        _results_total.labels(self._key.trainer, cause.value).inc()
+        self._state.fail(message.attempt, instance, cause, clock.monotonic_s())
+        self._apply_change()
+
+    def take_progress(
+        self, instance: ids.InstanceId, message: messages.Progress
+    ) -> None:
+        """Renews leases and cancels attempts that don't count any more."""
+        now_s = clock.monotonic_s()
+        self._owner_causes.note(instance, message.cause, now_s)
+        unknown = self._state.attempts.report(
+            instance, message.attempts, now_s
+        )
+        if unknown:
+            self._notify(instance, messages.Cancel(self._key, unknown))
+
+    def set_version(self, version: ids.Version) -> None:
+        """Makes a version current, in the order of the stream."""
+        if version <= self._state.version:
+            return
+        self._cancel(self._state.set_version(version))
+        self._apply_change()
+
+    def lose_instance(self, instance: ids.InstanceId) -> None:
+        """Takes back all samples that run at a lost instance."""
+        self._told.pop(instance, None)
+        before = self._state.count(entries.SampleState.RUNNING)
+        self._state.lose_instance(instance)
+        lost = before - self._state.count(entries.SampleState.RUNNING)
+        if lost:
+            _lost_total.labels(self._key.trainer).inc(lost)
+            self._apply_change()
+
+    def check_members(self) -> None:
+        """Takes back samples of members that are dead."""
+        for instance in {a.instance for a in self._state.attempts}:
+            member = self._membership.get(instance)
+            if member is None or member.state is members.MemberState.DEAD:
+                self.lose_instance(instance)
+
+    def _run_ticks(self) -> None:
+        while self._is_open:
+            lost = self._state.expire(clock.monotonic_s())
+            if lost:
+                _lost_total.labels(self._key.trainer).inc(len(lost))
+                self._cancel(lost)
+            if clock.monotonic_s() - self._told_all_s > RETELL_S:
+                self._told_all_s = clock.monotonic_s()
+                self._told.clear()
+            self._apply_change()
+            eventlet.sleep(TICK_S)
+
+    def _apply_change(self) -> None:
+        """Lets the stream and the owners see the new state."""
+        self._changed.set()
+        if self._is_open:
+            self._tell_owners()
+
+    def _tell_owners(self) -> None:
+        """Sends the backlog to owners that know another one.
+
+        An owner needs to know whether there is work, not how much, so a
+        notice is sent when that changes and is repeated at each tick.
+        """
+        state = self._state
+        backlog = messages.Backlog(
+            key=self._key,
+            club=self._trainer.club,
+            model=self._trainer.model,
+            count=state.count_wanted(),
+            minimum_version=state.minimum_version,
+        )
+        for instance in self._find_owners():
+            told = self._told.get(instance)
+            if told is None or _differ(told, backlog):
+                self._told[instance] = backlog
+                self._notify(instance, backlog)
+
+    def _find_owners(self) -> set[ids.InstanceId]:
+        text = self._kernel.plugin('config').text
+        target = text and text.target_of_model(self._trainer.model)
+        if not target:
+            return set()
+        owners = {
+            self._membership.owner_of(domain, address)
+            for domain, address in text.iter_replicas(target)
+        }
+        return owners - {None}
+
+    def _take_score(self, sample: samples.Sample, score: float) -> None:
+        self._state.set_score(sample, score)
+        self._apply_change()
+
+    def _request_score(self, sample: samples.Sample) -> None:
+        if self._scorer is not None:
+            prompt = self._state.prompt_of(sample)
+            self._scorer.submit(sample, prompt)
+
+    def _cancel(self, attempts: typing.Iterable[entries.Attempt]) -> None:
+        by_instance: dict[ids.InstanceId, list[int]] = {}
+        for attempt in attempts:
+            by_instance.setdefault(attempt.instance, []).append(attempt.number)
+        for instance, numbers in by_instance.items():
+            self._notify(instance, messages.Cancel(self._key, tuple(numbers)))
+
+    def _end_stream(self) -> None:
+        """Withdraws what is still running; finished samples are kept."""
+        if not self._is_open:
+            return
+        self._is_open = False
+        if self._scorer is not None:
+            self._scorer.stop()
+        state = self._state
+        logger.info(
+            'step {}/{} closed: {} of {} samples delivered, attachment {}',
+            self._key.trainer,
+            self._key.step,
+            state.delivered,
+            state.requested,
+            self._key.number,
+        )
+        self._cancel(state.attempts)
+        withdrawn = messages.Backlog(
+            self._key, self._trainer.club, self._trainer.model, 0, 0
+        )
+        for instance in self._find_owners():
+            self._notify(instance, withdrawn)
+
+    def _notify(self, instance: ids.InstanceId, message) -> None:
+        """Sends in a green thread, because dialling waits."""
+        eventlet.spawn_n(self._send, instance, message)
+
+    def _send(self, instance: ids.InstanceId, message) -> None:
+        try:
+            self._kernel.peers.notify(instance, message)
+        except exceptions.PeerError as error:
+            self._told.pop(instance, None)
+            logger.debug('no notice to {}: {}', instance, error)
+
+
+def _differ(told: messages.Backlog, current: messages.Backlog) -> bool:
+    return (
+        bool(told.count) != bool(current.count)
+        or told.minimum_version != current.minimum_version
+    )
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/ordering.py
@@ -0,0 +1,209 @@
+"""Decisions on order, placement, hedging and restarts of samples.
+
+All functions are pure, so that each rule can be tested and replaced alone.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import statistics
+import typing
+
+from lentildeal._internal.models import ids
+
+# Length assumed before any sample of a trainer has finished, in tokens.
+DEFAULT_LENGTH = 128.0
+# Observations of the trainer that weigh as much as one of the group.
+PRIOR_WEIGHT = 2.0
+# Lengths that the average of a trainer looks back on.
+HISTORY_LENGTH = 256
+# Expected total of a sample that has reached t tokens, as a multiple of t.
+# For a Pareto tail with exponent 2, E[X | X > t] = 2 t.
+TAIL_FACTOR = 2.0
+# Time after which a waiting group is no longer kept for the replica that
+# holds its prompt prefix, in seconds. A prefix saves far less than that.
+AFFINITY_HOLD_S = 2.0
+# Hedges may cost this share of the tokens that the step has generated.
+HEDGE_TOKEN_SHARE = 0.05
+# An attempt is slow below this share of the median rate of its step.
+SLOW_RATE_SHARE = 0.5
+# Attempts observed for less than this have no meaningful rate, in seconds.
+HEDGE_MIN_AGE_S = 2.0
+# A sample starts again of its own accord once only; a sample that takes
+# longer than the interval between versions would never finish otherwise.
+MAX_VOLUNTARY_RESTARTS = 1
+# Samples without a score that stop generation, as a share of the step.
+UNSCORED_SHARE = 0.5
+
+
+class LengthPredictor:
+    """Predicts lengths of samples from those that have finished."""
+
+    def __init__(self) -> None:
+        self._recent: collections.deque[int] = collections.deque(
+            maxlen=HISTORY_LENGTH
+        )
+        self._groups: dict[ids.GroupId, list[int]] = {}
+
+    def observe(self, group: ids.GroupId, token_count: int) -> None:
+        """Records the length of a finished sample, in tokens."""
+        self._recent.append(token_count)
+        self._groups.setdefault(group, []).append(token_count)
+
+    def forget_groups(self) -> None:
+        """Drops the lengths by group at the end of a step."""
+        self._groups.clear()
+
+    def predict(self, group: ids.GroupId, reached: int = 0) -> float:
+        """Predicts the total length of a sample, in tokens.
+
+        Args:
+            group: Group of the sample.
+            reached: Tokens that an attempt at the sample has reached.
+
+        Returns:
+            The mean of the group, shrunk towards that of the trainer, or
+            more for a sample that has already run past it.
+        """
+        prior = DEFAULT_LENGTH
+        if self._recent:
+            prior = statistics.fmean(self._recent)
+        seen = self._groups.get(group, ())
+        mean = (sum(seen) + PRIOR_WEIGHT * prior) / (len(seen) + PRIOR_WEIGHT)
+        if reached <= mean / TAIL_FACTOR:
+            return mean
+        return max(mean, TAIL_FACTOR * reached)
+
+
+@dataclasses.dataclass(frozen=True)
+class GroupView:
+    """What the order of groups depends on.
+
+    Attributes:
+        unfinished: Samples of the group that have no result yet.
+        predicted: Longest predicted length among waiting samples, in tokens.
+        held_by: Replicas that have taken a sample of the group.
+        idle_s: Time since a sample of the group was last handed out.
+        position: Place of the group in the trainer's request.
+    """
+
+    unfinished: int
+    predicted: float
+    held_by: typing.Collection[ids.ReplicaAddress]
+    idle_s: float
+    position: int
+
+
+def rank_group(view: GroupView, address: ids.ReplicaAddress) -> tuple:
+    """Sort key of a group for a pulling replica; the lowest goes first.
+
+    Groups whose prefix the replica holds go first, then new groups, then
+    those of other replicas. A group that has waited too long for its own
+    replica counts as held by all. Within a class, groups nearest to
+    completion go first, then those with the longest sample.
+    """
+    if address in view.held_by or (
+        view.held_by and view.idle_s > AFFINITY_HOLD_S
+    ):
+        affinity = 0
+    elif not view.held_by:
+        affinity = 1
+    else:
+        affinity = 2
+    return (affinity, view.unfinished, -view.predicted, view.position)
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptView:
+    """A running attempt as the hedging rule sees it.
+
+    Attributes:
+        number: Number of the attempt.
+        address: Replica that runs it.
+        observed_s: Time from its start to the latest progress notice.
+        tokens: Tokens reported by then.
+        is_alone: Whether no other attempt at its sample runs.
+    """
+
+    number: int
+    address: ids.ReplicaAddress
+    observed_s: float
+    tokens: int
+    is_alone: bool
+
+    @property
+    def rate(self) -> float:
+        """Tokens a second."""
+        return self.tokens / max(self.observed_s, 0.001)
+
+
+def choose_hedge(
+    attempts: typing.Sequence[AttemptView],
+    address: typing.Optional[ids.ReplicaAddress],
+) -> typing.Optional[int]:
+    """Chooses the oldest slow attempt to run again on another replica.
+
+    Only a slow replica is hedged, never a sample that is merely long: the
+    first attempt to finish wins, and a race between two draws of a long
+    sample would shift the trainer's data towards short ones.
+    """
+    settled = [view for view in attempts if view.observed_s >= HEDGE_MIN_AGE_S]
+    if not settled:
+        return None
+    median = statistics.median(view.rate for view in settled)
+    slow = [
+        view
+        for view in settled
+        if view.is_alone
+        and view.address != address
+        and (view.tokens == 0 or view.rate < SLOW_RATE_SHARE * median)
+    ]
+    if not slow:
+        return None
+    return max(slow, key=lambda view: (view.observed_s, -view.number)).number
+
+
+def may_spend_on_hedge(
+    spent: float, cost: float, generated: float, is_first: bool
+) -> bool:
+    """Whether a hedge of a cost in tokens is within the bound.
+
+    The first hedge of a step is always allowed: a step of a few samples has
+    no share to spend and stalls just the same.
+    """
+    return is_first or spent + cost <= HEDGE_TOKEN_SHARE * generated
+
+
+def should_restart(
+    *,
+    staleness: int,
+    bound: int,
+    progress: float,
+    staleness_weight: float,
+    restarts: int,
+) -> bool:
+    """Decides at a weight change whether a running sample starts again.
+
+    Args:
+        staleness: Versions by which its oldest token is behind.
+        bound: Most versions allowed at delivery.
+        progress: Expected share of the sample that is generated, 0 to 1.
+        staleness_weight: Weight of staleness against idle time, 0 to 1.
+        restarts: Voluntary restarts of the sample so far.
+
+    Returns:
+        True if the sample is certain to be over the bound, or if the
+        weighted staleness outweighs the weighted work that would be lost.
+    """
+    if staleness > bound:
+        return True
+    if staleness <= 0 or restarts >= MAX_VOLUNTARY_RESTARTS:
+        return False
+    used = staleness / bound
+    return staleness_weight * used > (1.0 - staleness_weight) * progress
+
+
+def unscored_limit(samples: int, group_size: int) -> int:
+    """Samples waiting for a score at which no further one is started."""
+    return max(2 * group_size, int(UNSCORED_SHARE * samples))
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/scoring.py
@@ -0,0 +1,99 @@
+"""Scores finished samples through the trainer's scoring service."""
+
+from __future__ import annotations
+
+import json
+import math
+import typing
+
+import eventlet
+import eventlet.queue
+from loguru import logger
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import samples
+from lentildeal._internal.utils import backoff
+from lentildeal._internal.utils import clock
+
+# Calls of one step at once; scoring takes milliseconds where generation
+# takes seconds, so few suffice.
+CONCURRENCY = 16
+CALL_TIMEOUT_S = 5.0
+OK = 200
+
+_failures_total = prometheus_client.Counter(
+    'lentildeal_scoring_failures_total',
+    'Calls of a scoring service that gave no score.',
+    ['service'],
+)
+
+OnScore = typing.Callable[[samples.Sample, float], None]
+
+
+class Scorer:
+    """Green threads that score the samples of one step.
+
+    A sample is tried again until it has a score or the step is closed: a
+    sample without a score is of no use to the trainer.
+    """
+
+    def __init__(
+        self, callers: typing.Any, service: ids.ServiceName, on_score: OnScore
+    ) -> None:
+        self._callers = callers
+        self._service = service
+        self._on_score = on_score
+        self._queue = eventlet.queue.LightQueue()
+        self._threads = [
+            eventlet.spawn(self._score_samples) for _ in range(CONCURRENCY)
+        ]
+
+    def submit(self, sample: samples.Sample, prompt: str) -> None:
+        """Queues a sample; ``on_score`` is called when it has a score."""
+        self._queue.put((sample, prompt))
+
+    def stop(self) -> None:
+        """Ends the green threads."""
+        for thread in self._threads:
+            thread.kill()
+
+    def _score_samples(self) -> None:
+        while True:
+            sample, prompt = self._queue.get()
+            delays = backoff.Backoff()
+            score = self._try_score(sample, prompt)
+            while score is None:
+                _failures_total.labels(self._service).inc()
+                eventlet.sleep(delays.next_delay_s())
+                score = self._try_score(sample, prompt)
+            self._on_score(sample, score)
+
+    def _try_score(self, sample, prompt: str) -> typing.Optional[float]:
+        body = json.dumps({'prompt': prompt, 'text': sample.text}).encode()
+        try:
+            answer = self._callers.call_service(
+                self._service,
+                '/score',
+                'POST',
+                {'Content-Type': 'application/json'},
+                body,
+                clock.Deadline(CALL_TIMEOUT_S),
+            )
+            return read_score(answer.status, answer.body)
+        except exceptions.LentildealError as error:
+            logger.debug('no score for {}: {}', sample.sample_id, error)
+            return None
+
+
+def read_score(status: int, body: bytes) -> typing.Optional[float]:
+    """Reads a scoring service's answer, None unless it has a number."""
+    if status != OK:
+        return None
+    try:
+        score = json.loads(body)['score']
+    except (ValueError, KeyError, TypeError):
+        return None
+    is_number = isinstance(score, (int, float)) and not isinstance(score, bool)
+    return float(score) if is_number and math.isfinite(score) else None
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/steps.py
@@ -0,0 +1,402 @@
+"""State of one step: where each of its samples is.
+
+Nothing here waits or does I/O. Every method leaves each sample in exactly
+one state, and a sample is written to the stream in one place only
+(``take_delivery``), where its staleness is checked.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.models import samples
+from lentildeal._internal.rollouts import attempts
+from lentildeal._internal.rollouts import entries
+from lentildeal._internal.rollouts import hedging
+from lentildeal._internal.rollouts import ordering
+from lentildeal._internal.rollouts import selection
+
+
+class StepState:
+    """All samples of one step under one attachment."""
+
+    def __init__(
+        self,
+        plan: entries.StepPlan,
+        version: ids.Version,
+        predictor: ordering.LengthPredictor,
+    ) -> None:
+        self._plan = plan
+        self._predictor = predictor
+        self._version = version
+        self._is_version_pending = True
+        self._entries: dict[ids.SampleId, entries.Entry] = {}
+        self._groups: list[entries.Group] = []
+        self._attempts = attempts.AttemptTable()
+        self._ready: dict[ids.SampleId, None] = {}
+        self._unacknowledged: collections.deque[entries.Entry] = (
+            collections.deque()
+        )
+        self._counts = dict.fromkeys(entries.SampleState, 0)
+        self._cursor = 0
+        self._generated_tokens = 0
+        self._hedges = hedging.HedgeBudget(predictor)
+        self._stale_runs = 0
+        self._add_entries()
+
+    @property
+    def plan(self) -> entries.StepPlan:
+        """What the trainer has asked for."""
+        return self._plan
+
+    @property
+    def attempts(self) -> attempts.AttemptTable:
+        """Running attempts."""
+        return self._attempts
+
+    @property
+    def version(self) -> ids.Version:
+        """Current weight version."""
+        return self._version
+
+    @property
+    def minimum_version(self) -> ids.Version:
+        """Oldest version that a sample may start with."""
+        return ids.Version(self._version - self._plan.staleness_bound)
+
+    @property
+    def requested(self) -> int:
+        """Samples to deliver under this attachment."""
+        return len(self._entries)
+
+    @property
+    def delivered(self) -> int:
+        """Samples written to the stream."""
+        return self._cursor
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every sample is written."""
+        return self._cursor == len(self._entries)
+
+    @property
+    def stale_runs(self) -> int:
+        """Samples started again because of their staleness."""
+        return self._stale_runs
+
+    @property
+    def hedges(self) -> int:
+        """Attempts started as hedges."""
+        return self._hedges.started
+
+    @property
+    def is_generation_held(self) -> bool:
+        """Whether too many samples wait for their score."""
+        limit = ordering.unscored_limit(
+            len(self._entries), self._plan.group_size
+        )
+        return self._counts[entries.SampleState.GENERATED] >= limit
+
+    def count(self, state: entries.SampleState) -> int:
+        """Number of samples in a state."""
+        return self._counts[state]
+
+    def count_wanted(self) -> int:
+        """Number of samples that a pull would be of use for."""
+        if self.is_generation_held:
+            return 0
+        waiting = self._counts[entries.SampleState.WAITING]
+        if waiting:
+            return waiting
+        return int(self._find_hedge(None) is not None)
+
+    def pull(
+        self,
+        instance: ids.InstanceId,
+        address: ids.ReplicaAddress,
+        version: ids.Version,
+        now_s: float,
+    ) -> entries.PullAnswer:
+        """Hands a sample to a replica that has a free slot.
+
+        Args:
+            instance: Owner of the replica.
+            address: The replica.
+            version: Weight version on the replica.
+            now_s: Monotonic time.
+        """
+        if version < self.minimum_version:
+            return entries.PullAnswer(cause=outcomes.Cause.TARGET_SWAPPING)
+        if self.is_generation_held:
+            return entries.PullAnswer(cause=outcomes.Cause.SCORING)
+        if self._counts[entries.SampleState.WAITING]:
+            entry = selection.choose_waiting(
+                self._groups, address, now_s, self._predictor
+            )
+        else:
+            entry = self._start_hedge(address)
+        if entry is None:
+            return entries.PullAnswer(cause=outcomes.Cause.NO_WORK)
+        return entries.PullAnswer(self._start(entry, instance, address, now_s))
+
+    def complete(
+        self,
+        number: int,
+        instance: ids.InstanceId,
+        text: str,
+        segments: tuple[samples.Segment, ...],
+    ) -> tuple[typing.Optional[samples.Sample], list[entries.Attempt]]:
+        """Takes the complete result of an attempt.
+
+        Returns:
+            The sample if the result counts, else None; and the attempts
+            that are no longer needed. The result of an attempt that was
+            given up before does not count.
+        """
+        attempt = self._attempts.find(number, instance)
+        if attempt is None:
+            return None, []
+        entry = attempt.entry
+        sample = entry.make_sample(text, segments)
+        attempt.tokens = sample.token_count
+        self._attempts.drop(attempt)
+        self._generated_tokens += sample.token_count
+        if self._is_over_bound(sample.oldest_version):
+            self._count_stale(entry)
+            self._settle(entry)
+            return None, []
+        others = list(entry.attempts.values())
+        for other in others:
+            self._attempts.drop(other)
+        self._predictor.observe(sample.group, sample.token_count)
+        self._keep(entry, sample)
+        return sample, others
+
+    def adopt(self, sample: samples.Sample) -> bool:
+        """Takes a sample that an earlier attachment has finished."""
+        entry = self._entries.get(sample.sample_id)
+        if entry is None or entry.state is not entries.SampleState.WAITING:
+            return False
+        if self._is_over_bound(sample.oldest_version):
+            return False
+        self._keep(entry, sample)
+        return True
+
+    def iter_kept(self) -> typing.Iterator[samples.Sample]:
+        """Yields finished samples that the trainer has not acknowledged."""
+        for entry in self._entries.values():
+            if entry.sample is not None:
+                yield entry.sample
+
+    def set_score(self, sample: samples.Sample, score: float) -> None:
+        """Records a score; one of a dropped or scored result is ignored."""
+        entry = self._entries[sample.sample_id]
+        is_expected = entry.state is entries.SampleState.GENERATED
+        if not is_expected or entry.sample is not sample:
+            return
+        entry.sample = dataclasses.replace(sample, score=score)
+        self._set_ready(entry)
+
+    def fail(
+        self,
+        number: int,
+        instance: ids.InstanceId,
+        cause: outcomes.Cause,
+        now_s: float,
+    ) -> None:
+        """Takes back the sample of an attempt that has failed."""
+        attempt = self._attempts.find(number, instance)
+        if attempt is None:
+            return
+        if cause is outcomes.Cause.STALE:
+            self._count_stale(attempt.entry)
+        else:
+            attempt.entry.start_backoff(now_s)
+        self._lose(attempt)
+
+    def lose_instance(self, instance: ids.InstanceId) -> None:
+        """Takes back all samples that run at an instance."""
+        for attempt in self._attempts.list_of(instance):
+            self._lose(attempt)
+
+    def expire(self, now_s: float) -> list[entries.Attempt]:
+        """Takes back samples whose owner no longer reports them."""
+        lost = self._attempts.list_expired(now_s)
+        for attempt in lost:
+            self._lose(attempt)
+        return lost
+
+    def set_version(self, version: ids.Version) -> list[entries.Attempt]:
+        """Makes a newer version current.
+
+        Returns:
+            Attempts that are given up, to be cancelled.
+        """
+        if version <= self._version:
+            return []
+        self._version = version
+        self._is_version_pending = True
+        for entry in self._entries.values():
+            if entry.state in (
+                entries.SampleState.GENERATED,
+                entries.SampleState.READY,
+            ):
+                self._restart_if_stale(entry)
+        return [
+            attempt
+            for attempt in self._attempts
+            if self._restart_attempt(attempt)
+        ]
+
+    def take_delivery(self) -> typing.Optional[entries.Delivery]:
+        """Takes what is to be written to the stream next.
+
+        A version goes before all samples that are checked against it.
+        """
+        if self._is_version_pending:
+            self._is_version_pending = False
+            return entries.Delivery(version=self._version)
+        while self._ready:
+            entry = self._entries[next(iter(self._ready))]
+            if self._restart_if_stale(entry):
+                continue
+            del self._ready[entry.sample_id]
+            self._cursor += 1
+            entry.cursor = self._cursor
+            self._set_state(entry, entries.SampleState.DELIVERED)
+            self._unacknowledged.append(entry)
+            return entries.Delivery(sample=entry.sample, cursor=self._cursor)
+        return None
+
+    def acknowledge(self, cursor: int) -> int:
+        """Releases delivered samples and returns how many."""
+        released = 0
+        while self._unacknowledged:
+            if self._unacknowledged[0].cursor > cursor:
+                break
+            entry = self._unacknowledged.popleft()
+            entry.sample = None
+            self._set_state(entry, entries.SampleState.ACKNOWLEDGED)
+            released += 1
+        return released
+
+    def prompt_of(self, sample: samples.Sample) -> str:
+        """Prompt text of a sample of this step."""
+        return self._entries[sample.sample_id].group.prompt.prompt
+
+    def _add_entries(self) -> None:
+        plan = self._plan
+        for position, prompt in enumerate(plan.prompts):
+            group = entries.Group(prompt, position)
+            for index in range(plan.group_size):
+                sample_id = ids.make_sample_id(
+                    plan.trainer, plan.step, prompt.group, index
+                )
+                if sample_id in plan.received:
+                    continue
+                entry = entries.Entry(sample_id, group, index)
+                group.entries.append(entry)
+                self._entries[sample_id] = entry
+            self._groups.append(group)
+        self._counts[entries.SampleState.WAITING] = len(self._entries)
+
+    def _set_state(
+        self, entry: entries.Entry, state: entries.SampleState
+    ) -> None:
+        self._counts[entry.state] -= 1
+        self._counts[state] += 1
+        entry.state = state
+
+    def _settle(self, entry: entries.Entry) -> None:
+        """Sets the state of a sample without a result."""
+        if entry.attempts:
+            self._set_state(entry, entries.SampleState.RUNNING)
+        else:
+            self._set_state(entry, entries.SampleState.WAITING)
+
+    def _keep(self, entry: entries.Entry, sample: samples.Sample) -> None:
+        entry.sample = sample
+        self._set_state(entry, entries.SampleState.GENERATED)
+        if not self._plan.is_scored or sample.score is not None:
+            self._set_ready(entry)
+
+    def _set_ready(self, entry: entries.Entry) -> None:
+        self._set_state(entry, entries.SampleState.READY)
+        self._ready[entry.sample_id] = None
+
+    def _is_over_bound(self, oldest: ids.Version) -> bool:
+        return self._version - oldest > self._plan.staleness_bound
+
+    def _restart_if_stale(self, entry: entries.Entry) -> bool:
+        if not self._is_over_bound(entry.sample.oldest_version):
+            return False
+        self._ready.pop(entry.sample_id, None)
+        entry.sample = None
+        self._count_stale(entry)
+        self._settle(entry)
+        return True
+
+    def _restart_attempt(self, attempt: entries.Attempt) -> bool:
+        if attempt.oldest_version is None:
+            return False
+        entry = attempt.entry
+        predicted = self._predictor.predict(
+            entry.group.prompt.group, attempt.tokens
+        )
+        staleness = self._version - attempt.oldest_version
+        if not ordering.should_restart(
+            staleness=staleness,
+            bound=self._plan.staleness_bound,
+            progress=attempt.tokens / predicted,
+            staleness_weight=self._plan.staleness_weight,
+            restarts=entry.restarts,
+        ):
+            return False
+        if staleness <= self._plan.staleness_bound:
+            entry.restarts += 1
+        self._count_stale(entry)
+        self._lose(attempt)
+        return True
+
+    def _count_stale(self, entry: entries.Entry) -> None:
+        self._stale_runs += 1
+        entry.is_stale_rerun = True
+
+    def _lose(self, attempt: entries.Attempt) -> None:
+        self._attempts.drop(attempt)
+        self._settle(attempt.entry)
+
+    def _start(
+        self, entry: entries.Entry, instance, address, now_s: float
+    ) -> samples.WorkItem:
+        attempt = self._attempts.start(entry, instance, address, now_s)
+        entry.group.held_by.add(address)
+        entry.group.handed_s = now_s
+        self._settle(entry)
+        return self._make_item(entry, attempt)
+
+    def _make_item(
+        self, entry: entries.Entry, attempt: entries.Attempt
+    ) -> samples.WorkItem:
+        return samples.WorkItem(
+            sample_id=entry.sample_id,
+            attempt=attempt.number,
+            prompt=entry.group.prompt.prompt,
+            max_tokens=self._plan.max_tokens,
+            minimum_version=self.minimum_version,
+        )
+
+    def _find_hedge(self, address) -> entries.Entry | None:
+        return self._hedges.find(
+            list(self._attempts), address, self._generated_tokens
+        )
+
+    def _start_hedge(self, address) -> entries.Entry | None:
+        entry = self._find_hedge(address)
+        if entry is not None:
+            self._hedges.charge(entry)
+        return entry
--- /dev/null
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -0,0 +1,325 @@
+"""Plug-in ``trainers``: the trainers' HTTP interface and its messages."""
+
+from __future__ import annotations
+
+import typing
+
+import eventlet
+
+from lentildeal._internal.config import schema
+from lentildeal._internal import exceptions
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.models import samples
+from lentildeal._internal.network import http_server
+from lentildeal._internal.platform import base
+from lentildeal._internal.rollouts import causes
+from lentildeal._internal.rollouts import coordinator as coordinator_module
+from lentildeal._internal.rollouts import delivery
+from lentildeal._internal.rollouts import messages
+from lentildeal._internal.rollouts import ordering
+from lentildeal._internal.rollouts import requests
+from lentildeal._internal.rollouts import steps
+
+FORWARD_TIMEOUT_S = 2.0
+STEP_ROUTE = '/v1/trainers/{trainer}/steps/{step}'
+
+Coordinator = coordinator_module.StepCoordinator
+
+
+@plugins.register('trainers', after=('config', 'membership', 'callers'))
+class TrainersApi(plugins.Plugin):
+    """Coordinators of the steps that were opened at this daemon."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        # The latest attachment of each trainer here, open or ended. An
+        # ended one keeps its finished samples until they are acknowledged.
+        self._coordinators: dict[ids.TrainerName, Coordinator] = {}
+        self._predictors: dict[ids.TrainerName, ordering.LengthPredictor] = {}
+        endpoint = kernel.settings.platform.weights
+        self._store = base.weight_stores.make(endpoint.adapter, endpoint)
+
+    def start(self) -> None:
+        """See the base class."""
+        router = self._kernel.router
+        router.add('POST', STEP_ROUTE, self._attach)
+        router.add('POST', f'{STEP_ROUTE}/ack', self._acknowledge)
+        router.add('POST', '/v1/trainers/{trainer}/versions', self._announce)
+        network = self._kernel.peers
+        network.handle(messages.Pull, self._on_pull)
+        network.handle(messages.Done, self._on_done)
+        network.handle(messages.Failed, self._on_failed)
+        network.handle(messages.Progress, self._on_progress)
+        network.handle(messages.Ack, self._on_ack)
+        network.handle(messages.NewVersion, self._on_new_version)
+        network.on_disconnect(self._on_disconnect)
+        self._membership.on_change(self._on_members_changed)
+        self._membership.on_version(self._on_model_version)
+
+    def stop(self) -> None:
+        """See the base class."""
+        for coordinator in self._coordinators.values():
+            coordinator.close('the daemon stops')
+
+    def open_steps(self) -> list[causes.StepView]:
+        """Steps whose stream is open at this daemon."""
+        return [
+            coordinator.view
+            for coordinator in self._coordinators.values()
+            if coordinator.is_open
+        ]
+
+    @property
+    def _membership(self) -> typing.Any:
+        return self._kernel.plugin('membership')
+
+    # HTTP routes.
+
+    def _attach(self, request: http_server.Request) -> http_server.Response:
+        name, trainer = self._find_trainer(request)
+        step = requests.parse_step_number(request.parameters['step'])
+        body = requests.decode(requests.StepBody, request.body)
+        plan = requests.make_plan(name, step, trainer, body)
+        self._check_attachment(name, body.attachment)
+        key = messages.StepKey(name, step, body.attachment)
+        heard = self._membership.versions().get(trainer.model, body.version)
+        predictor = self._predictors.setdefault(
+            name, ordering.LengthPredictor()
+        )
+        predictor.forget_groups()
+        version = ids.Version(max(body.version, heard))
+        state = steps.StepState(plan, version, predictor)
+        coordinator = Coordinator(self._kernel, key, trainer, state)
+        kept = self._close_previous(coordinator)
+        self._coordinators[name] = coordinator
+        self._tell_attachments()
+        coordinator.start(kept)
+        return http_server.Response(
+            200, {'Content-Type': delivery.CONTENT_TYPE}, coordinator.stream
+        )
+
+    def _acknowledge(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        name, _ = self._find_trainer(request)
+        step = requests.parse_step_number(request.parameters['step'])
+        body = requests.decode(requests.AckBody, request.body)
+        attachment = -1 if body.attachment is None else body.attachment
+        message = messages.Ack(name, step, body.cursor, attachment)
+        instance = self._find_coordinator(name)
+        if instance is None:
+            raise exceptions.NotRunError(
+                f'no daemon is known to serve step {step} of {name}',
+                cause=outcomes.Cause.OWNER_UNREACHABLE.value,
+                remedy='repeat the acknowledgement, or attach again',
+            )
+        released = self._forward(instance, message)
+        return http_server.json_response({'released': released})
+
+    def _announce(self, request: http_server.Request) -> http_server.Response:
+        name, trainer = self._find_trainer(request)
+        body = requests.decode(requests.VersionBody, request.body)
+        self._confirm(trainer.model, body.version)
+        self._membership.announce_version(trainer.model, body.version)
+        instance = self._find_coordinator(name)
+        # Without a known coordinator the heartbeats carry the version.
+        if instance is not None:
+            self._forward(instance, messages.NewVersion(name, body.version))
+        return http_server.json_response({'version': body.version})
+
+    def _find_trainer(
+        self, request: http_server.Request
+    ) -> tuple[ids.TrainerName, schema.Trainer]:
+        text = self._kernel.plugin('config').text
+        if text is None:
+            raise exceptions.NotRunError(
+                'no configuration is in effect yet',
+                cause=outcomes.Cause.NO_CONFIGURATION.value,
+            )
+        name = ids.TrainerName(request.parameters['trainer'])
+        if name not in text.trainers:
+            raise exceptions.NotFoundError(
+                f'the text in effect has no trainer {name!r}'
+            )
+        return name, text.trainers[name]
+
+    def _check_attachment(self, name: ids.TrainerName, number: int) -> None:
+        known = self._latest_attachment(name)
+        if number <= known:
+            raise exceptions.BadRequestError(
+                f'attachment {number} of {name} is not above {known}, the'
+                ' latest one',
+                remedy=f'attach with a number above {known}',
+            )
+
+    def _confirm(self, model: ids.ModelName, version: ids.Version) -> None:
+        """Refuses a version that the weight store does not have yet.
+
+        While the store does not answer, the trainer is believed: a version
+        that is missing makes loads fail, but no label wrong.
+        """
+        if version <= self._membership.versions().get(model, -1):
+            return
+        try:
+            latest = self._store.get_latest(model)
+        except exceptions.PlatformError:
+            return
+        if latest < version:
+            raise exceptions.BadRequestError(
+                f'the weight store has version {latest} of {model},'
+                f' not {version}',
+                remedy='put the version into the store, then announce it',
+            )
+
+    # Attachments.
+
+    def _latest_attachment(self, name: ids.TrainerName) -> int:
+        numbers = [-1]
+        if name in self._coordinators:
+            numbers.append(self._coordinators[name].key.number)
+        if name in self._membership.attachments():
+            _, attachment = self._membership.attachments()[name]
+            numbers.append(attachment.number)
+        return max(numbers)
+
+    def _find_coordinator(
+        self, name: ids.TrainerName
+    ) -> typing.Optional[ids.InstanceId]:
+        own = self._kernel.settings.instance
+        instance, attachment = self._membership.attachments().get(
+            name, (None, None)
+        )
+        mine = self._coordinators.get(name)
+        if mine is not None and (
+            attachment is None or mine.key.number >= attachment.number
+        ):
+            return own
+        return instance
+
+    def _forward(self, instance: ids.InstanceId, message) -> typing.Any:
+        try:
+            return self._kernel.peers.call(
+                instance, message, FORWARD_TIMEOUT_S
+            )
+        except exceptions.PeerError as error:
+            raise exceptions.NotRunError(
+                f'the coordinator did not answer: {error.message}',
+                cause=outcomes.Cause.OWNER_UNREACHABLE.value,
+                remedy='repeat the call, which does no harm, or attach again',
+            ) from error
+
+    def _close_previous(
+        self, coordinator: Coordinator
+    ) -> list[samples.Sample]:
+        """Closes the trainer's older stream here and takes its samples."""
+        previous = self._coordinators.get(coordinator.key.trainer)
+        if previous is None:
+            return []
+        previous.close('the trainer has attached again')
+        old, new = previous.state.plan, coordinator.state.plan
+        if (old.step, old.max_tokens) != (new.step, new.max_tokens):
+            return []
+        prompts = {prompt.group: prompt for prompt in new.prompts}
+        unchanged = {p.group for p in old.prompts if prompts.get(p.group) == p}
+        return [
+            sample
+            for sample in previous.state.iter_kept()
+            if sample.group in unchanged
+        ]
+
+    def _tell_attachments(self) -> None:
+        self._membership.set_attachments(
+            tuple(c.attachment for c in self._coordinators.values())
+        )
+
+    def _on_members_changed(self) -> None:
+        self._drop_superseded()
+        for coordinator in self._coordinators.values():
+            if coordinator.is_open:
+                coordinator.check_members()
+
+    def _drop_superseded(self) -> None:
+        """Closes streams whose trainer has attached elsewhere since."""
+        own = self._kernel.settings.instance
+        for name, (instance, found) in self._membership.attachments().items():
+            mine = self._coordinators.get(name)
+            if mine is None or instance == own:
+                continue
+            if found.number > mine.key.number:
+                mine.close(f'{name} has attached at {instance}')
+                del self._coordinators[name]
+                self._tell_attachments()
+
+    # Messages.
+
+    def _find_step(
+        self, key: messages.StepKey
+    ) -> typing.Optional[Coordinator]:
+        coordinator = self._coordinators.get(key.trainer)
+        if coordinator is None or coordinator.key != key:
+            return None
+        return coordinator
+
+    def _on_pull(self, instance, message: messages.Pull) -> messages.Items:
+        coordinator = self._find_step(message.key)
+        if coordinator is None:
+            return messages.Items()
+        return coordinator.pull(instance, message)
+
+    def _on_done(self, instance, message: messages.Done) -> None:
+        coordinator = self._find_step(message.key)
+        if coordinator is not None:
+            coordinator.take_result(instance, message)
+
+    def _on_failed(self, instance, message: messages.Failed) -> None:
+        coordinator = self._find_step(message.key)
+        if coordinator is not None:
+            coordinator.take_failure(instance, message)
+
+    def _on_progress(self, instance, message: messages.Progress) -> None:
+        coordinator = self._find_step(message.key)
+        if coordinator is not None and coordinator.is_open:
+            coordinator.take_progress(instance, message)
+        elif message.attempts:
+            numbers = tuple(entry[0] for entry in message.attempts)
+            cancel = messages.Cancel(message.key, numbers)
+            eventlet.spawn_n(self._notify, instance, cancel)
+
+    def _on_ack(self, _, message: messages.Ack) -> int:
+        coordinator = self._coordinators.get(message.trainer)
+        if coordinator is None or coordinator.key.step != message.step:
+            return 0
+        if message.attachment not in (-1, coordinator.key.number):
+            return 0
+        return coordinator.state.acknowledge(message.cursor)
+
+    def _on_new_version(self, _, message: messages.NewVersion) -> None:
+        coordinator = self._coordinators.get(message.trainer)
+        if coordinator is not None and coordinator.is_open:
+            coordinator.set_version(message.version)
+
+    def _on_model_version(
+        self, model: ids.ModelName, version: ids.Version
+    ) -> None:
+        """Applies a version to all steps of its model.
+
+        Trainers that share a model are held to the version that any of them
+        has announced, because the engines load it for all.
+        """
+        for coordinator in self._coordinators.values():
+            if coordinator.is_open and coordinator.trainer.model == model:
+                coordinator.set_version(version)
+
+    def _on_disconnect(self, instance, _) -> None:
+        for coordinator in self._coordinators.values():
+            if coordinator.is_open:
+                coordinator.lose_instance(instance)
+
+    def _notify(self, instance, message) -> None:
+        try:
+            self._kernel.peers.notify(instance, message)
+        except exceptions.PeerError:
+            # The next progress notice is answered in the same way.
+            return
--- /dev/null
+++ b/tests/unit/rollouts/test_steps.py
@@ -0,0 +1,282 @@
+"""State of a step: exactly once and never over the staleness bound."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.models import samples
+from lentildeal._internal.rollouts import entries
+from lentildeal._internal.rollouts import ordering
+from lentildeal._internal.rollouts import steps
+
+State = entries.SampleState
+
+
+def make_state(groups=2, size=2, bound=1, version=5, received=(), **plan):
+    """A step of trainer "t", step 1, groups "g0" and so on."""
+    values = {'staleness_weight': 0.5, 'is_scored': False, **plan}
+    return steps.StepState(
+        entries.StepPlan(
+            trainer='t',
+            step=1,
+            prompts=tuple(
+                samples.Prompt(f'g{number}', f'prompt {number}')
+                for number in range(groups)
+            ),
+            group_size=size,
+            max_tokens=100,
+            received=frozenset(received),
+            staleness_bound=bound,
+            **values,
+        ),
+        version,
+        ordering.LengthPredictor(),
+    )
+
+
+def pull(state, instance='a1', address='r1', version=5, now_s=0.0):
+    """Number of the attempt that is handed out, None for none."""
+    item = state.pull(instance, address, version, now_s).item
+    return item and item.attempt
+
+
+def finish(state, attempt, *versions, instance='a1'):
+    """Completes an attempt with one token of each version."""
+    segments = tuple(
+        samples.Segment(version, index, index + 1)
+        for index, version in enumerate(versions or (5,))
+    )
+    return state.complete(attempt, instance, 'text', segments)
+
+
+def drain(state):
+    """Samples and versions that the stream would write now."""
+    written = []
+    while (delivery := state.take_delivery()) is not None:
+        written.append(delivery)
+    return written
+
+
+def test_version_event_precedes_samples_checked_against_it():
+    """A trainer must not read a sample before the version it is held to."""
+    state = make_state(groups=1, size=1)
+    finish(state, pull(state))
+    state.set_version(6)
+    first, second = drain(state)
+    assert first.version == 6 and second.sample.oldest_version == 5
+
+
+def test_sample_over_bound_is_generated_again():
+    """A finished sample that became too old must not be delivered."""
+    state = make_state(groups=1, size=1, bound=0)
+    finish(state, pull(state))
+    state.set_version(6)
+    assert [d.version for d in drain(state)] == [6]
+    assert pull(state, version=5) is None
+    finish(state, pull(state, version=6), 6)
+    assert drain(state)[0].sample.oldest_version == 6
+    assert state.is_complete
+
+
+def test_old_token_in_middle_counts_for_staleness():
+    """A swap back within a sample must not hide its oldest version."""
+    state = make_state(groups=1, size=1, bound=1)
+    state.set_version(7)
+    attempt = pull(state, version=7)
+    assert finish(state, attempt, 7, 5, 7)[0] is None
+    assert state.count(State.WAITING) == 1
+
+
+def test_late_result_of_lost_attempt_is_ignored():
+    """A worker that wakes after its sample was requeued must not count."""
+    state = make_state(groups=1, size=1)
+    late = pull(state, now_s=0.0)
+    state.expire(100.0)
+    again = pull(state, 'a2', now_s=100.0)
+    assert finish(state, late)[0] is None
+    assert finish(state, again, instance='a2')[0] is not None
+    assert finish(state, again, instance='a2')[0] is None
+
+
+def test_result_from_other_instance_is_ignored():
+    """Attempt numbers of another owner must not complete a sample."""
+    state = make_state()
+    assert finish(state, pull(state, 'a1'), instance='a2')[0] is None
+
+
+def test_received_samples_are_not_generated():
+    """A trainer that attaches again must not get what it holds."""
+    state = make_state(groups=1, size=2, received=['t/1/g0/0'])
+    finish(state, pull(state))
+    assert [d.sample.sample_id for d in drain(state)[1:]] == ['t/1/g0/1']
+    assert state.is_complete
+
+
+def test_generation_is_held_while_scores_are_missing():
+    """A scoring outage must not pile up samples that go stale."""
+    state = make_state(groups=4, size=4, is_scored=True)
+    held = None
+    while held is None:
+        answer = state.pull('a1', 'r1', 5, 0.0)
+        if answer.item is None:
+            held = answer.cause
+        else:
+            finish(state, answer.item.attempt)
+    assert held is outcomes.Cause.SCORING
+    assert state.count(State.GENERATED) == 8
+
+
+def test_unknown_attempts_are_reported_back():
+    """An owner must learn that its attempt does not count any more."""
+    state = make_state()
+    attempt = pull(state)
+    state.lose_instance('a1')
+    assert state.attempts.report('a1', [(attempt, 3, 5)], 1.0) == (attempt,)
+
+
+def test_certainly_stale_attempt_is_given_up_at_version_change():
+    """Slots must not go on with work that can't be delivered."""
+    state = make_state(groups=1, size=2, bound=0)
+    old, unknown = pull(state), pull(state)
+    state.attempts.report('a1', [(old, 3, 5), (unknown, 0, -1)], 1.0)
+    assert [a.number for a in state.set_version(6)] == [old]
+
+
+@pytest.mark.parametrize(
+    'weight,tokens,restarts', [(0.0, 1, 0), (0.9, 1, 1), (0.5, 90, 0)]
+)
+def test_staleness_weight_decides_on_carry_over(weight, tokens, restarts):
+    """Carrying over and restarting must follow the trainer's weights."""
+    state = make_state(groups=1, size=1, bound=2, staleness_weight=weight)
+    attempt = pull(state)
+    state.attempts.report('a1', [(attempt, tokens, 5)], 1.0)
+    assert len(state.set_version(6)) == restarts
+
+
+def test_kept_samples_are_adopted_once():
+    """An attach at the same daemon must not generate finished samples."""
+    old, new = make_state(), make_state(received=['t/1/g0/1'])
+    for _ in range(3):
+        finish(old, pull(old))
+    adopted = [s.sample_id for s in old.iter_kept() if new.adopt(s)]
+    assert adopted == ['t/1/g0/0', 't/1/g1/0']
+    assert not any(new.adopt(sample) for sample in old.iter_kept())
+
+
+class StepMachine(stateful.RuleBasedStateMachine):
+    """Any interleaving of results, losses, duplicates and versions."""
+
+    def __init__(self):
+        super().__init__()
+        self.state = make_state(groups=2, size=2, bound=1, is_scored=True)
+        self.seen = []
+        self.delivered = []
+        self.announced = 5
+        self.current = None
+        self.now_s = 0.0
+        self.results = []
+
+    @stateful.rule(
+        instance=strategies.sampled_from(['a1', 'a2']),
+        lag=strategies.integers(0, 3),
+    )
+    def pull(self, instance, lag):
+        answer = self.state.pull(
+            instance, f'r-{instance}', self.announced - lag, self.now_s
+        )
+        if answer.item is not None:
+            assert answer.item.minimum_version == self.announced - 1
+            assert lag <= 1
+            self.seen.append((answer.item.attempt, instance))
+
+    @stateful.precondition(lambda self: self.seen)
+    @stateful.rule(data=strategies.data(), lag=strategies.integers(0, 3))
+    def complete(self, data, lag):
+        """Also repeats results and brings those of lost attempts."""
+        attempt, instance = data.draw(strategies.sampled_from(self.seen))
+        versions = (self.announced - lag, self.announced)
+        sample, _ = finish(self.state, attempt, *versions, instance=instance)
+        if sample is not None:
+            self.results.append(sample)
+
+    @stateful.precondition(lambda self: self.results)
+    @stateful.rule(data=strategies.data())
+    def score(self, data):
+        sample = data.draw(strategies.sampled_from(self.results))
+        self.state.set_score(sample, 1.0)
+
+    @stateful.precondition(lambda self: self.seen)
+    @stateful.rule(data=strategies.data())
+    def fail(self, data):
+        attempt, instance = data.draw(strategies.sampled_from(self.seen))
+        self.state.fail(
+            attempt, instance, outcomes.Cause.TARGET_DOWN, self.now_s
+        )
+
+    @stateful.precondition(lambda self: self.seen)
+    @stateful.rule(data=strategies.data(), lag=strategies.integers(0, 3))
+    def report(self, data, lag):
+        attempt, instance = data.draw(strategies.sampled_from(self.seen))
+        progress = (attempt, 10, self.announced - lag)
+        self.state.attempts.report(instance, [progress], self.now_s)
+
+    @stateful.rule(instance=strategies.sampled_from(['a1', 'a2']))
+    def lose(self, instance):
+        self.state.lose_instance(instance)
+
+    @stateful.rule(seconds=strategies.sampled_from([1.0, 4.0, 20.0]))
+    def pass_time(self, seconds):
+        self.now_s += seconds
+        self.state.expire(self.now_s)
+
+    @stateful.rule(step=strategies.integers(1, 2))
+    def announce(self, step):
+        self.announced += step
+        self.state.set_version(self.announced)
+
+    @stateful.rule()
+    def write(self):
+        delivery = self.state.take_delivery()
+        if delivery is None:
+            return
+        if delivery.sample is None:
+            self.current = delivery.version
+            return
+        assert self.current - delivery.sample.oldest_version <= 1
+        assert delivery.cursor == len(self.delivered) + 1
+        self.delivered.append(delivery.sample.sample_id)
+
+    @stateful.rule()
+    def acknowledge(self):
+        self.state.acknowledge(len(self.delivered))
+
+    @stateful.invariant()
+    def each_sample_is_in_one_state(self):
+        total = sum(self.state.count(state) for state in State)
+        assert total == self.state.requested == 4
+        assert len(set(self.delivered)) == len(self.delivered)
+
+    def teardown(self):
+        """Whatever happened, the rest of the step can still be finished."""
+        self.now_s += 1000.0
+        self.state.expire(self.now_s)
+        for sample in list(self.state.iter_kept()):
+            self.state.set_score(sample, 1.0)
+        for _ in range(8):
+            attempt = pull(self.state, 'a3', 'r3', self.announced, self.now_s)
+            if attempt is not None:
+                version = self.announced
+                sample, _ = finish(self.state, attempt, version, instance='a3')
+                self.state.set_score(sample, 1.0)
+            self.write()
+            self.write()
+        assert self.state.is_complete
+        assert len(self.delivered) == 4
+
+
+StepMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, max_examples=200, stateful_step_count=60, deadline=None
+)
+TestStepMachine = StepMachine.TestCase
