--- a/src/lentildeal/_internal/orders/swaps.py
+++ b/src/lentildeal/_internal/orders/swaps.py
@@ -9,10 +9,10 @@
 from loguru import logger
 import prometheus_client
 
-from lentildeal._internal.config import schema
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import text as text_module
 from lentildeal._internal.orders import pacing
 from lentildeal._internal.orders import terms
 from lentildeal._internal.platform import base
@@ -143,7 +143,7 @@
             return
         for name, _, address in self._slots.iter_owned():
             target = text.targets.get(name)
-            if target and target.kind is schema.TargetKind.ENGINE:
+            if target and target.kind is text_module.TargetKind.ENGINE:
                 pool = tuple(a for _, a in text.iter_replicas(name))
                 yield Replica(name, address, target.model, pool)
 
--- a/src/lentildeal/_internal/rollouts/backlogs.py
+++ b/src/lentildeal/_internal/rollouts/backlogs.py
@@ -5,12 +5,12 @@
 import dataclasses
 import typing
 
-from lentildeal._internal.config import schema
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import text as text_module
 from lentildeal._internal.rollouts import messages
 from lentildeal._internal.routing import fairness
 
-GetText = typing.Callable[[], typing.Optional[schema.FederationText]]
+GetText = typing.Callable[[], typing.Optional[text_module.FederationText]]
 SMALLEST_WEIGHT = 0.001
 
 
--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -8,12 +8,12 @@
 from loguru import logger
 import prometheus_client
 
-from lentildeal._internal.config import schema
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import samples
+from lentildeal._internal.models import text as text_module
 from lentildeal._internal.rollouts import causes
 from lentildeal._internal.rollouts import delivery
 from lentildeal._internal.rollouts import entries
@@ -48,7 +48,7 @@
         self,
         kernel: typing.Any,
         key: messages.StepKey,
-        trainer: schema.Trainer,
+        trainer: text_module.Trainer,
         state: steps.StepState,
     ) -> None:
         self._kernel = kernel
@@ -72,7 +72,7 @@
         return self._key
 
     @property
-    def trainer(self) -> schema.Trainer:
+    def trainer(self) -> text_module.Trainer:
         """Published settings of the trainer."""
         return self._trainer
 
--- a/src/lentildeal/_internal/rollouts/trainers_api.py
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -6,12 +6,12 @@
 
 import eventlet
 
-from lentildeal._internal.config import schema
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import samples
+from lentildeal._internal.models import text as text_module
 from lentildeal._internal.network import http_server
 from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import causes
@@ -131,7 +131,7 @@
 
     def _find_trainer(
         self, request: http_server.Request
-    ) -> tuple[ids.TrainerName, schema.Trainer]:
+    ) -> tuple[ids.TrainerName, text_module.Trainer]:
         text = self._kernel.plugin('config').text
         if text is None:
             raise exceptions.NotRunError(
--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -8,13 +8,13 @@
 from loguru import logger
 import prometheus_client
 
-from lentildeal._internal.config import schema
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import samples
+from lentildeal._internal.models import text as text_module
 from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import backlogs
 from lentildeal._internal.rollouts import generation
@@ -106,7 +106,7 @@
             return
         for name, _, address in self._slots.iter_owned():
             target = text.targets.get(name)
-            if target and target.kind is schema.TargetKind.ENGINE:
+            if target and target.kind is text_module.TargetKind.ENGINE:
                 yield address, target.model
 
     def _run_puller(self, puller: tasks.Puller) -> None:
