--- a/src/lentildeal/_internal/rollouts/tasks.py
+++ b/src/lentildeal/_internal/rollouts/tasks.py
@@ -12,6 +12,16 @@
 from lentildeal._internal.utils import backoff
 
 
+@dataclasses.dataclass(frozen=True)
+class AttemptView:
+    """A running attempt for status; prompts stay with their club."""
+
+    sample_id: ids.SampleId
+    club: ids.ClubName
+    address: ids.ReplicaAddress
+    tokens: int
+
+
 @dataclasses.dataclass
 class Puller:
     """One owned replica of an engine target."""
@@ -54,6 +64,16 @@
             f'{self.item.sample_id}#{self.key.number}.{self.item.attempt}'
         )
 
+    @property
+    def view(self) -> AttemptView:
+        """What status shows of the attempt."""
+        return AttemptView(
+            self.item.sample_id,
+            self.notice.club,
+            self.puller.address,
+            self.collector.token_count,
+        )
+
     @property
     def progress(self) -> tuple[int, int, int]:
         """Entry of a progress notice."""
--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -13,7 +13,6 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.models import outcomes
-from lentildeal._internal.models import samples
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import backlogs
@@ -80,9 +79,9 @@
             puller.is_active = False
         self._changed.set()
 
-    def running(self) -> list[samples.WorkItem]:
-        """Samples that are generated or reported now."""
-        return [task.item for task in self._tasks.values()]
+    def running(self) -> list[tasks.AttemptView]:
+        """Attempts that are generated or reported now."""
+        return [task.view for task in self._tasks.values()]
 
     # Pulling.
 
--- /dev/null
+++ b/tests/functional/test_rollouts.py
@@ -0,0 +1,197 @@
+"""Rollouts under failures, judged by the journals of the stand-ins."""
+
+import itertools
+import json
+import signal
+import time
+import urllib.request
+
+from lentildeal._internal.models import outcomes
+from tests.lib import federation
+from tests.lib import processes
+from tests.lib import rollouts
+
+# Engines with samples of about a second, so that failures hit them midway.
+SLOW = ('--median-tokens', 80, '--sigma', 0.7, '--base-ms', 10)
+
+
+def test_steps_with_versions_in_the_middle():
+    """Swaps in the middle of samples must not blur labels or staleness."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW, is_scored=True, staleness_bound=1)
+        fed.add_daemons({'a': 2, 'b': 2})
+        trainer = fed.start_trainer(
+            't', 'm', '--publish', 'every', '--publish-s', 0.6
+        )
+        journal = rollouts.wait_until_done(trainer)
+        rollouts.assert_promises(journal)
+        assert journal['mixed_versions'] > 0
+        assert all(
+            sample['score'] is not None for sample in journal['samples']
+        )
+
+
+def test_bound_of_zero_versions():
+    """With bound 0 every sample must come from the current version only."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW, staleness_bound=0)
+        fed.add_daemons({'a': 2, 'b': 1})
+        trainer = fed.start_trainer(
+            't', 'm', '--publish', 'middle', '--bound', 0
+        )
+        journal = rollouts.wait_until_done(trainer)
+        rollouts.assert_promises(journal)
+        assert journal['most_staleness'] == 0
+
+
+def test_coordinator_killed_in_step():
+    """Samples delivered but not acknowledged must not come twice."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW)
+        daemons = fed.add_daemons({'a': 3, 'b': 2})
+        trainer = fed.start_trainer('t', 'm', '--groups', 8)
+        for _ in range(2):
+            processes.wait_for(
+                lambda: rollouts.find_coordinator(daemons), 'a step is open'
+            ).kill()
+        journal = rollouts.wait_until_done(trainer)
+        rollouts.assert_promises(journal)
+        assert journal['breaks']
+
+
+def test_workers_killed_in_step():
+    """Samples that run at a killed owner must be generated elsewhere."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW)
+        daemons = fed.add_daemons({'a': 3, 'b': 3})
+        trainer = fed.start_trainer('t', 'm', '--groups', 8)
+        coordinator = processes.wait_for(
+            lambda: rollouts.find_coordinator(daemons), 'a step is open'
+        )
+        workers = [daemon for daemon in daemons if daemon is not coordinator]
+        for worker in workers[:3]:
+            worker.kill()
+        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+
+
+def test_third_of_daemons_killed_repeatedly():
+    """Repeated loss of coordinators and owners must break no promise."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW, is_scored=True)
+        daemons = fed.add_daemons({'a': 3, 'b': 3})
+        trainer = fed.start_trainer(
+            't', 'm', '--steps', 4, '--groups', 8, '--publish', 'middle'
+        )
+        turns = itertools.cycle([(0, 3), (1, 4), (2, 5)])
+        for turn, _ in zip(turns, range(6)):
+            time.sleep(1.0)
+            for number in turn:
+                daemons[number].kill()
+            time.sleep(0.5)
+            for number in turn:
+                daemons[number] = rollouts.restart(fed, daemons[number])
+        journal = rollouts.wait_until_done(trainer, 90.0)
+        rollouts.assert_promises(journal)
+        assert journal['breaks']
+
+
+def test_paused_owner_wakes_with_old_results():
+    """A result that was requeued during a pause must not count twice."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW, counts={'a': 2})
+        daemons = fed.add_daemons({'a': 3})
+        trainer = fed.start_trainer('t', 'm', '--groups', 12, '--steps', 2)
+        coordinator = processes.wait_for(
+            lambda: rollouts.find_coordinator(daemons), 'a step is open'
+        )
+        paused = [daemon for daemon in daemons if daemon is not coordinator]
+        for daemon in paused:
+            daemon.signal(signal.SIGSTOP)
+        time.sleep(7.0)
+        for daemon in paused:
+            daemon.signal(signal.SIGCONT)
+        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+
+
+def test_truncated_and_refused_generations():
+    """A sample counts only from a stream with its end marker."""
+    with federation.Federation() as fed:
+        engines = rollouts.start_pool(fed, *SLOW)
+        engines[0].set_faults(truncate=0.5)
+        engines[1].set_faults(refuse=0.5)
+        fed.add_daemons({'a': 2, 'b': 1})
+        trainer = fed.start_trainer('t', 'm')
+        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+
+
+def test_swap_that_fails_partway_is_ordered_again():
+    """A replica must not stay on its old version after a failed load."""
+    with federation.Federation() as fed:
+        engines = rollouts.start_pool(fed)
+        for engine in engines:
+            engine.set_faults(fail_loads=2)
+        fed.add_daemons({'a': 2, 'b': 2})
+        rollouts.publish_version(fed, 1)
+        processes.wait_for(
+            lambda: rollouts.read_versions(engines) == {1},
+            'all engines serve version 1',
+        )
+        results = [s['result'] for s in engines[0].read_journal()['swaps']]
+        assert results == ['failed: partway'] * 2 + ['done']
+
+
+def test_scoring_outage_holds_samples_with_a_cause():
+    """Samples must wait for their score, and the wait must be named."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, is_scored=True)
+        daemons = fed.add_daemons({'a': 2, 'b': 1})
+        scoring = next(p for p in fed._processes if 'scoring' in p.name)
+        scoring.signal(signal.SIGSTOP)
+        trainer = fed.start_trainer('t', 'm', '--steps', 1)
+
+        def read_cause():
+            coordinator = rollouts.find_coordinator(daemons)
+            if coordinator is None:
+                return None
+            _, status = coordinator.call('GET', '/v1/status')
+            return status['steps'] and status['steps'][0]['cause']
+
+        processes.wait_for(
+            lambda: read_cause() == outcomes.Cause.SCORING.value,
+            'the step waits for scores',
+        )
+        scoring.signal(signal.SIGCONT)
+        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+
+
+def test_trainer_restarts_from_checkpoint():
+    """A smaller received set must bring the missing samples again."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed)
+        first, second = fed.add_daemons({'a': 1, 'b': 1})
+        body = {
+            'version': 0,
+            'prompts': [{'group': 'g', 'prompt': 'p'}],
+            'group_size': 4,
+            'max_tokens': 50,
+        }
+        whole = attach(first, {**body, 'attachment': 1, 'received': []})
+        held = whole[:1]
+        again = attach(second, {**body, 'attachment': 2, 'received': held})
+        assert sorted(held + again) == sorted(whole)
+        third = {**body, 'attachment': 2, 'received': []}
+        status, problem = second.call('POST', '/v1/trainers/t/steps/1', third)
+        assert status == 400 and 'above 2' in problem['remedy']
+
+
+def attach(daemon, body):
+    """Attaches and reads to the end; returns the ids of the samples."""
+    request = urllib.request.Request(
+        f'{daemon.url}/v1/trainers/t/steps/1',
+        json.dumps(body).encode(),
+        method='POST',
+    )
+    with urllib.request.urlopen(request, timeout=30.0) as response:
+        events = [json.loads(line) for line in response]
+    assert events[-1]['event'] == 'end'
+    return [e['sample']['id'] for e in events if e['event'] == 'sample']
--- /dev/null
+++ b/tests/lib/rollouts.py
@@ -0,0 +1,123 @@
+"""Builders and judgements for tests of rollouts with real processes."""
+
+from __future__ import annotations
+
+import typing
+
+from tests.lib import builders
+from tests.lib import federation
+from tests.lib import processes
+
+MODEL = 'm'
+TRAINER = 't'
+
+
+def start_pool(
+    fed: federation.Federation,
+    *arguments: typing.Any,
+    counts: typing.Optional[dict[str, int]] = None,
+    is_scored: bool = False,
+    checks_fencing: bool = False,
+    **trainer: typing.Any,
+) -> list[processes.Process]:
+    """Starts engines, and publishes a text with one trainer.
+
+    Args:
+        fed: Federation without a text.
+        *arguments: Arguments of the engines.
+        counts: Engines by failure domain.
+        is_scored: Whether the trainer has a scoring service.
+        checks_fencing: Whether the engines check fencing tokens.
+        **trainer: Further fields of the trainer.
+
+    Returns:
+        The engines.
+    """
+    words = (*arguments, '--fencing') if checks_fencing else arguments
+    engines = fed.start_engines(counts or {'a': 2, 'b': 2}, *words)
+    targets = {
+        'engines': builders.make_engine_target(
+            MODEL,
+            federation.list_addresses(engines),
+            checks_fencing=checks_fencing,
+        )
+    }
+    services = {}
+    if is_scored:
+        scoring = fed.start_scoring({'a': 1})
+        targets['scoring'] = builders.make_service_target(
+            federation.list_addresses(scoring)
+        )
+        services['score'] = {
+            'club': 'c',
+            'target': 'scoring',
+            'idempotent': True,
+        }
+        trainer['scoring'] = 'score'
+    trainers = {TRAINER: {'club': 'c', 'model': MODEL, **trainer}}
+    fed.publish(builders.make_text(targets, services, trainers))
+    publish_version(fed, 0)
+    return [engine for group in engines.values() for engine in group]
+
+
+def publish_version(fed: federation.Federation, version: int) -> None:
+    """Puts a version into the weight store."""
+    fed.weights.call('PUT', f'/models/{MODEL}/versions/{version}')
+
+
+def restart(
+    fed: federation.Federation, daemon: processes.Daemon
+) -> processes.Process:
+    """Starts a killed daemon again with its settings and addresses."""
+    path = fed.directory / f'{daemon.name}.jsonc'
+    arguments = [processes.DAEMON, str(path)]
+    return fed._add(
+        processes.Process(daemon.name, arguments, fed.directory, daemon.port)
+    )
+
+
+def find_coordinator(
+    daemons: typing.Iterable[processes.Process],
+) -> typing.Optional[processes.Process]:
+    """The daemon that has an open step, None if no live one has."""
+    for daemon in daemons:
+        if daemon.exit_status is not None:
+            continue
+        try:
+            _, status = daemon.call('GET', '/v1/status')
+        except OSError:
+            continue
+        if status['steps']:
+            return daemon
+    return None
+
+
+def wait_until_done(
+    trainer: processes.Process, limit_s: float = 60.0
+) -> dict[str, typing.Any]:
+    """Waits for the trainer's end and returns its journal."""
+    processes.wait_for(
+        lambda: trainer.read_journal()['state'] != 'running',
+        'the trainer is done',
+        limit_s,
+    )
+    return trainer.read_journal()
+
+
+def assert_promises(journal: dict[str, typing.Any]) -> None:
+    """Each sample exactly once, truly labelled, within the bound."""
+    assert journal['state'] == 'done'
+    assert journal['delivered'] == journal['asked']
+    for fault in (
+        'duplicates',
+        'missing',
+        'foreign',
+        'mislabelled',
+        'over_stale',
+    ):
+        assert not journal[fault], fault
+
+
+def read_versions(engines: typing.Iterable[processes.Process]) -> set[int]:
+    """Versions that engines serve now."""
+    return {engine.call('GET', '/state')[1]['version'] for engine in engines}
