--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -71,7 +71,7 @@
     """Starts a killed daemon again with its settings and addresses."""
     path = fed.directory / f'{daemon.name}.jsonc'
     arguments = [processes.DAEMON, str(path)]
-    return fed._add(
+    return fed.add(
         processes.Process(daemon.name, arguments, fed.directory, daemon.port)
     )
 
