Refresh carried-over samples by pull and spread small steps

A restart at the announcement of a version put samples back onto replicas that still served the old one, and the first replica to pull took a whole small step. Voluntary restarts now happen when a replica on the current version has an idle slot, and a replica leaves waiting samples to others for 0.2 s once it runs its even part.

Trial with stand-ins before the change: in step 2 of three, 13 of 16 samples were cancelled and started again on the old version.

--- a/src/lentildeal/_internal/rollouts/attempts.py
+++ b/src/lentildeal/_internal/rollouts/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from lentildeal._internal.models import ids
@@ -24,6 +25,9 @@
 
     def __init__(self) -> None:
         self._attempts: dict[int, entries.Attempt] = {}
+        self._by_address: collections.Counter[ids.ReplicaAddress] = (
+            collections.Counter()
+        )
         self._next_number = 1
 
     def __len__(self) -> int:
@@ -59,6 +63,7 @@
         self._next_number += 1
         self._attempts[attempt.number] = attempt
         entry.attempts[attempt.number] = attempt
+        self._by_address[address] += 1
         return attempt
 
     def find(
@@ -76,6 +81,11 @@
         entry.reached = max(entry.reached, attempt.tokens)
         del self._attempts[attempt.number]
         del entry.attempts[attempt.number]
+        self._by_address[attempt.address] -= 1
+
+    def count_at(self, address: ids.ReplicaAddress) -> int:
+        """Number of attempts at a replica."""
+        return self._by_address[address]
 
     def list_of(self, instance: ids.InstanceId) -> list[entries.Attempt]:
         """Attempts that an instance runs."""
--- a/src/lentildeal/_internal/rollouts/backlogs.py
+++ b/src/lentildeal/_internal/rollouts/backlogs.py
@@ -21,12 +21,15 @@
     Attributes:
         notice: Latest notice.
         coordinator: Instance that sent it.
-        not_before_s: Monotonic time before which there is nothing to pull.
+        not_before_s: Monotonic time by replica before which there is
+            nothing to pull for it.
     """
 
     notice: messages.Backlog
     coordinator: ids.InstanceId
-    not_before_s: float = 0.0
+    not_before_s: dict[ids.ReplicaAddress, float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class BacklogBook:
@@ -67,13 +70,22 @@
             if known.coordinator == coordinator:
                 del self._known[known.notice.key]
 
-    def hold(self, key: messages.StepKey, until_s: float) -> None:
-        """Stops pulling from a step until a time or its next notice."""
+    def hold(
+        self,
+        key: messages.StepKey,
+        address: ids.ReplicaAddress,
+        until_s: float,
+    ) -> None:
+        """Stops pulls of a replica until a time or the step's next notice."""
         if key in self._known:
-            self._known[key].not_before_s = until_s
+            self._known[key].not_before_s[address] = until_s
 
     def choose(
-        self, model: ids.ModelName, version: ids.Version, now_s: float
+        self,
+        address: ids.ReplicaAddress,
+        model: ids.ModelName,
+        version: ids.Version,
+        now_s: float,
     ) -> typing.Optional[KnownBacklog]:
         """Chooses whose sample a replica generates next."""
         ready = [
@@ -81,7 +93,7 @@
             for known in self
             if known.notice.model == model
             and known.notice.minimum_version <= version
-            and known.not_before_s <= now_s
+            and known.not_before_s.get(address, 0.0) <= now_s
         ]
         if not ready:
             return None
--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -147,8 +147,14 @@
         if not self._is_open:
             return messages.Items()
         answer = self._state.pull(
-            instance, message.address, message.version, clock.monotonic_s()
+            instance,
+            message.address,
+            message.version,
+            clock.monotonic_s(),
+            self._count_pool(),
         )
+        if answer.replaced is not None:
+            self._cancel([answer.replaced])
         if answer.item is None:
             return messages.Items(cause=answer.cause.value)
         return messages.Items(
@@ -252,14 +258,23 @@
                 self._told[instance] = backlog
                 self._notify(instance, backlog)
 
-    def _find_owners(self) -> set[ids.InstanceId]:
+    def _list_pool(
+        self,
+    ) -> list[tuple[ids.FailureDomain, ids.ReplicaAddress]]:
+        """Replicas that serve the trainer's model."""
         text = self._kernel.plugin('config').text
         target = text and text.target_of_model(self._trainer.model)
-        if not target:
-            return set()
+        return list(text.iter_replicas(target)) if target else []
+
+    def _count_pool(self) -> int:
+        """Replicas that serve the model and can be reached."""
+        cut_off = self._membership.cut_off_domains()
+        return sum(domain not in cut_off for domain, _ in self._list_pool())
+
+    def _find_owners(self) -> set[ids.InstanceId]:
         owners = {
             self._membership.owner_of(domain, address)
-            for domain, address in text.iter_replicas(target)
+            for domain, address in self._list_pool()
         }
         return owners - {None}
 
--- a/src/lentildeal/_internal/rollouts/entries.py
+++ b/src/lentildeal/_internal/rollouts/entries.py
@@ -131,10 +131,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class PullAnswer:
-    """An item, or the cause why none is handed out."""
+    """An item, or the cause why none is handed out.
+
+    Attributes:
+        item: Sample to generate.
+        cause: Why there is none.
+        replaced: Attempt that the item replaces, to be cancelled.
+    """
 
     item: typing.Optional[samples.WorkItem] = None
     cause: outcomes.Cause = outcomes.Cause.NO_WORK
+    replaced: typing.Optional[Attempt] = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lentildeal/_internal/rollouts/hedging.py
+++ b/src/lentildeal/_internal/rollouts/hedging.py
@@ -24,7 +24,7 @@
 
     def find(
         self,
-        attempts: typing.Sequence[entries.Attempt],
+        attempts: typing.Iterable[entries.Attempt],
         address: typing.Optional[ids.ReplicaAddress],
         generated: int,
     ) -> typing.Optional[entries.Entry]:
--- a/src/lentildeal/_internal/rollouts/ordering.py
+++ b/src/lentildeal/_internal/rollouts/ordering.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import math
 import statistics
 import typing
 
@@ -24,6 +25,9 @@
 # Time after which a waiting group is no longer kept for the replica that
 # holds its prompt prefix, in seconds. A prefix saves far less than that.
 AFFINITY_HOLD_S = 2.0
+# Time for which samples are left to replicas that run fewer, in seconds. It
+# covers the pulls of all replicas, which take a few milliseconds each.
+SPREAD_HOLD_S = 0.2
 # Hedges may cost this share of the tokens that the step has generated.
 HEDGE_TOKEN_SHARE = 0.05
 # An attempt is slow below this share of the median rate of its step.
@@ -175,7 +179,7 @@
     return is_first or spent + cost <= HEDGE_TOKEN_SHARE * generated
 
 
-def should_restart(
+def should_refresh(
     *,
     staleness: int,
     bound: int,
@@ -183,7 +187,11 @@
     staleness_weight: float,
     restarts: int,
 ) -> bool:
-    """Decides at a weight change whether a running sample starts again.
+    """Decides whether a sample that carries over a change starts again.
+
+    A restart on the new version saves staleness and costs the work done so
+    far. Relative to the work that remains, that is p / (1 - p) for a
+    progress p. With a bound of 1 the rule amounts to p < weight.
 
     Args:
         staleness: Versions by which its oldest token is behind.
@@ -191,17 +199,32 @@
         progress: Expected share of the sample that is generated, 0 to 1.
         staleness_weight: Weight of staleness against idle time, 0 to 1.
         restarts: Voluntary restarts of the sample so far.
+    """
+    if staleness <= 0 or restarts >= MAX_VOLUNTARY_RESTARTS or progress >= 1:
+        return False
+    used = staleness / max(1, bound)
+    gain = staleness_weight * used
+    return gain > (1.0 - staleness_weight) * progress / (1.0 - progress)
+
 
-    Returns:
-        True if the sample is certain to be over the bound, or if the
-        weighted staleness outweighs the weighted work that would be lost.
+def is_beyond_share(
+    running: int, unfinished: int, pool_size: int, silence_s: float
+) -> bool:
+    """Whether a replica leaves waiting samples to others for a moment.
+
+    An engine slows down with the size of its batch, so a step that does not
+    fill the pool is spread evenly. Others lose the claim when none of them
+    has pulled for a while.
+
+    Args:
+        running: Samples of the step that the replica runs.
+        unfinished: Samples of the step without a result.
+        pool_size: Replicas that serve the model.
+        silence_s: Time since another replica has pulled.
     """
-    if staleness > bound:
-        return True
-    if staleness <= 0 or restarts >= MAX_VOLUNTARY_RESTARTS:
+    if silence_s > SPREAD_HOLD_S:
         return False
-    used = staleness / bound
-    return staleness_weight * used > (1.0 - staleness_weight) * progress
+    return running >= math.ceil(unfinished / max(1, pool_size))
 
 
 def unscored_limit(samples: int, group_size: int) -> int:
--- a/src/lentildeal/_internal/rollouts/selection.py
+++ b/src/lentildeal/_internal/rollouts/selection.py
@@ -5,13 +5,56 @@
 import typing
 
 from lentildeal._internal.models import ids
+from lentildeal._internal.rollouts import attempts
 from lentildeal._internal.rollouts import entries
+from lentildeal._internal.rollouts import hedging
 from lentildeal._internal.rollouts import ordering
 
 _UNFINISHED = (entries.SampleState.WAITING, entries.SampleState.RUNNING)
 
 
-def choose_waiting(
+class Selector:
+    """Chooses what a replica with a free slot generates next."""
+
+    def __init__(
+        self,
+        groups: list[entries.Group],
+        running: attempts.AttemptTable,
+        plan: entries.StepPlan,
+        predictor: ordering.LengthPredictor,
+    ) -> None:
+        self._groups = groups
+        self._attempts = running
+        self._plan = plan
+        self._predictor = predictor
+        self._pull_times = _PullTimes()
+        self.hedges = hedging.HedgeBudget(predictor)
+
+    def note_start(self, address: ids.ReplicaAddress, now_s: float) -> None:
+        """Records that a replica took a sample."""
+        self._pull_times.note(address, now_s)
+
+    def choose_waiting(
+        self, address: ids.ReplicaAddress, now_s: float, pool_size: int
+    ) -> typing.Optional[entries.Entry]:
+        """Chooses a waiting sample, None if others may better take it."""
+        silence_s = self._pull_times.silence_s(address, now_s)
+        unfinished = sum(group.count(*_UNFINISHED) for group in self._groups)
+        running = self._attempts.count_at(address)
+        if ordering.is_beyond_share(running, unfinished, pool_size, silence_s):
+            return None
+        return _choose_waiting(self._groups, address, now_s, self._predictor)
+
+    def find_refresh(
+        self, current: ids.Version
+    ) -> typing.Optional[entries.Attempt]:
+        """Finds an attempt that may better start on a version again."""
+        return _choose_refresh(
+            self._attempts, current, self._plan, self._predictor
+        )
+
+
+def _choose_waiting(
     groups: typing.Iterable[entries.Group],
     address: ids.ReplicaAddress,
     now_s: float,
@@ -36,6 +79,57 @@
     return best[1] if best else None
 
 
+def _choose_refresh(
+    running: typing.Iterable[entries.Attempt],
+    current: ids.Version,
+    plan: entries.StepPlan,
+    predictor: ordering.LengthPredictor,
+) -> typing.Optional[entries.Attempt]:
+    """Chooses an attempt to start again on the current version.
+
+    Among those that are worth it, the one with the least work done.
+    """
+    worth = []
+    for attempt in running:
+        if attempt.oldest_version is None or len(attempt.entry.attempts) > 1:
+            continue
+        predicted = predictor.predict(
+            attempt.entry.group.prompt.group, attempt.tokens
+        )
+        if ordering.should_refresh(
+            staleness=current - attempt.oldest_version,
+            bound=plan.staleness_bound,
+            progress=attempt.tokens / predicted,
+            staleness_weight=plan.staleness_weight,
+            restarts=attempt.entry.restarts,
+        ):
+            worth.append(attempt)
+    return min(worth, key=lambda a: (a.tokens, a.number), default=None)
+
+
+class _PullTimes:
+    """When replicas have pulled, to notice that others do not."""
+
+    def __init__(self) -> None:
+        self._pulled_s: dict[ids.ReplicaAddress, float] = {}
+        self._first_s: typing.Optional[float] = None
+
+    def note(self, address: ids.ReplicaAddress, now_s: float) -> None:
+        """Records that a replica took a sample."""
+        self._pulled_s[address] = now_s
+
+    def silence_s(self, address: ids.ReplicaAddress, now_s: float) -> float:
+        """Time since a replica other than this one took a sample."""
+        if self._first_s is None:
+            self._first_s = now_s
+        others = [
+            pulled_s
+            for other, pulled_s in self._pulled_s.items()
+            if other != address
+        ]
+        return now_s - max(others, default=self._first_s)
+
+
 def _find_longest(
     group: entries.Group,
     now_s: float,
--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -126,7 +126,9 @@
         if version is None:
             puller.cause = Cause.TARGET_DOWN.value
             return None
-        known = self._book.choose(puller.model, version, clock.monotonic_s())
+        known = self._book.choose(
+            puller.address, puller.model, version, clock.monotonic_s()
+        )
         is_old = self._book.is_held_by_version(puller.model, version)
         puller.cause = Cause.TARGET_SWAPPING.value if is_old else ''
         return known
@@ -163,10 +165,10 @@
             )
         except exceptions.PeerError as error:
             logger.debug('no pull from {}: {}', known.coordinator, error)
-            self._hold(key, UNREACHABLE_HOLD_S)
+            self._hold(key, puller, UNREACHABLE_HOLD_S)
             return None
         if not items.items:
-            self._hold(key, EMPTY_HOLD_S)
+            self._hold(key, puller, EMPTY_HOLD_S)
             return None
         task = tasks.Task(
             known.notice,
@@ -178,8 +180,9 @@
         self._tasks[key, task.item.attempt] = task
         return task
 
-    def _hold(self, key: messages.StepKey, seconds: float) -> None:
-        self._book.hold(key, clock.monotonic_s() + seconds)
+    def _hold(self, key, puller: tasks.Puller, seconds: float) -> None:
+        until_s = clock.monotonic_s() + seconds
+        self._book.hold(key, puller.address, until_s)
 
     # Generating.
 
