--- a/src/lentildeal/_internal/orders/pacing.py
+++ b/src/lentildeal/_internal/orders/pacing.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._mean_s = FIRST_LOAD_S
+        self._is_assumed = True
 
     @property
     def mean_s(self) -> float:
@@ -39,7 +40,9 @@
 
     def observe(self, seconds: float) -> None:
         """Records the time from an order to its read-back."""
-        self._mean_s += LOAD_GAIN * (seconds - self._mean_s)
+        gain = 1.0 if self._is_assumed else LOAD_GAIN
+        self._is_assumed = False
+        self._mean_s += gain * (seconds - self._mean_s)
 
 
 def stagger_window_s(load_s: float) -> float:
--- /dev/null
+++ b/tests/unit/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of orders to targets."""
