--- a/src/lentildeal/_internal/commands/config_publish.py
+++ b/src/lentildeal/_internal/commands/config_publish.py
@@ -80,7 +80,7 @@
                 print(f'  {fault}', file=sys.stderr)
             return status_codes.Status.FAULTS
         server = self.connect()
-        result = self._publish(server, text)
+        result = self.publish(server, text)
         if result['verdict'] != 'accepted' or not self.wait:
             self._print(result)
             return _STATUSES[result['verdict']]
@@ -90,7 +90,8 @@
             return status_codes.Status.NOT_EVERYWHERE
         return status_codes.Status.OK
 
-    def _publish(self, server: server_module.Server, text: str) -> dict:
+    def publish(self, server: server_module.Server, text: str) -> dict:
+        """Sends the edit and returns its verdict as the server tells it."""
         edit_id = str(uuid.uuid4())
         edit = {
             'base': self.base,
