--- a/src/lentildeal/_internal/cli/status_codes.py
+++ b/src/lentildeal/_internal/cli/status_codes.py
@@ -15,7 +15,7 @@
         UNKNOWN: The edit may or may not be accepted; ask again by its id.
         UNREACHABLE: No server answered; a publish was not sent.
         NOT_EVERYWHERE: The text is accepted, but some members have not
-            confirmed it in time.
+            confirmed it in time; or some have not answered a report.
         REFUSED: The server refused the request; nothing was changed.
         INTERNAL: The client failed in a way it did not expect.
         INTERRUPTED: Stopped by the user.
--- a/src/lentildeal/_internal/commands/report_burn.py
+++ b/src/lentildeal/_internal/commands/report_burn.py
@@ -3,21 +3,70 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 from lentildeal._internal.cli import base
 from lentildeal._internal.cli import documents
 from lentildeal._internal.cli import status_codes
 
+_OBJECTIVES = ('on_time', 'idle')
+
 
 @dataclasses.dataclass(kw_only=True)
 class ReportBurn(base.Command):
-    """Shows how fast each objective uses up its error budget, and why."""
+    """Shows how fast each objective uses up its error budget, and why.
+
+    A rate of 1 uses the budget up exactly in its window. The exit status is
+    7 if a member has not answered.
+    """
 
     def run(self) -> status_codes.Status:
         """See the base class."""
-        answer = self.connect().get('/v1/reports/burn?scope=federation')
+        path = '/v1/reports/burn?scope=federation'
+        answer = self.connect().get(path).value
         if self.is_json:
-            base.print_json(answer.value)
-        else:
-            documents.print_document(answer.value)
-        return status_codes.Status.OK
+            base.print_json(answer)
+            return documents.warn_of_unreached(answer)
+        parts = list(_iter_parts(answer['clubs']))
+        rows = [row for part in parts for row in _make_rows(*part)]
+        documents.print_rows('burn rates', rows)
+        causes = [
+            {'club': club, 'name': name, **cause}
+            for club, name, part in parts
+            for cause in part.get('causes') or ()
+        ]
+        documents.print_rows('causes', causes)
+        documents.print_rows('coverage', answer.get('coverage') or [])
+        return documents.warn_of_unreached(answer)
+
+
+def _iter_parts(clubs: dict) -> typing.Iterator[tuple[str, str, dict]]:
+    """Yields club, name and report of each service and trainer."""
+    for club, content in clubs.items():
+        for kind in ('services', 'trainers'):
+            for name, part in (content.get(kind) or {}).items():
+                yield club, name, part
+
+
+def _make_rows(club: str, name: str, part: dict) -> documents.Rows:
+    """Makes one row for each objective of a service or trainer."""
+    rows = []
+    latency = part.get('latency') or {}
+    for objective in _OBJECTIVES:
+        burn = part.get(objective)
+        if burn is None:
+            continue
+        pairs = burn.get('pairs') or ()
+        rows.append(
+            {
+                'club': club,
+                'name': name,
+                'objective': objective,
+                'allowed': burn.get('allowed_share'),
+                'spent': (burn.get('budget') or {}).get('spent_share'),
+                **(burn.get('burn_rates') or {}),
+                'is_burning': any(pair['is_burning'] for pair in pairs),
+                'p99_ms': latency.get('p99_ms'),
+            }
+        )
+    return rows
--- a/src/lentildeal/_internal/commands/status.py
+++ b/src/lentildeal/_internal/commands/status.py
@@ -11,10 +11,30 @@
 from lentildeal._internal.cli import documents
 from lentildeal._internal.cli import status_codes
 
+_DAEMON_COLUMNS = (
+    'instance',
+    'failure_domain',
+    'state',
+    'revision',
+    'is_log_reachable',
+    'is_view_fresh',
+    'requests_in_flight',
+)
+# Lists of a daemon's status that are joined into one table, with the name of
+# the column that tells which daemon reports a row.
+_LISTS = {
+    'members': ('members that are not live', 'seen_by'),
+    'replicas': ('replicas', 'owner'),
+    'steps': ('steps', 'coordinator'),
+}
+
 
 @dataclasses.dataclass(kw_only=True)
 class ShowStatus(base.Command):
-    """Shows the view of the daemon that answers, or of all members."""
+    """Shows the view of the daemon that answers, or of all members.
+
+    With --all the exit status is 7 if a member has not answered.
+    """
 
     all: typing.Annotated[
         bool,
@@ -28,9 +48,23 @@
     def run(self) -> status_codes.Status:
         """See the base class."""
         query = '?scope=federation' if self.all else ''
-        answer = self.connect().get(f'/v1/status{query}')
+        answer = self.connect().get(f'/v1/status{query}').value
         if self.is_json:
-            base.print_json(answer.value)
+            base.print_json(answer)
+        elif self.all:
+            _print_federation(answer['answered'])
         else:
-            documents.print_document(answer.value)
-        return status_codes.Status.OK
+            documents.print_document(answer)
+        return documents.warn_of_unreached(answer)
+
+
+def _print_federation(statuses: documents.Rows) -> None:
+    documents.print_rows('daemons', statuses, _DAEMON_COLUMNS)
+    for field, (title, column) in _LISTS.items():
+        rows = [
+            {column: status['instance'], **row}
+            for status in statuses
+            for row in status.get(field) or ()
+        ]
+        if rows:
+            documents.print_rows(title, rows)
