--- a/src/lentildeal/_internal/cli/status_codes.py
+++ b/src/lentildeal/_internal/cli/status_codes.py
@@ -4,22 +4,7 @@
 
 
 class Status(enum.IntEnum):
-    """What a script can learn from the exit status.
-
-    Attributes:
-        OK: Done.
-        DIFFERENT: ``config diff`` found differences.
-        USAGE: The command line is not valid or a file can't be read.
-        FAULTS: The text has faults; nothing was published.
-        CONFLICT: Another edit of the same revision was accepted.
-        UNKNOWN: The edit may or may not be accepted; ask again by its id.
-        UNREACHABLE: No server answered; a publish was not sent.
-        NOT_EVERYWHERE: The text is accepted, but some members have not
-            confirmed it in time; or some have not answered a report.
-        REFUSED: The server refused the request; nothing was changed.
-        INTERNAL: The client failed in a way it did not expect.
-        INTERRUPTED: Stopped by the user.
-    """
+    """What a script can learn from the exit status."""
 
     OK = 0
     DIFFERENT = 1
@@ -32,3 +17,20 @@
     REFUSED = 8
     INTERNAL = 9
     INTERRUPTED = 130
+
+
+# Shown in the generated reference.
+MEANINGS = {
+    Status.OK: 'Done.',
+    Status.DIFFERENT: '`config diff` found differences.',
+    Status.USAGE: 'The command line is not valid or a file is not readable.',
+    Status.FAULTS: 'The text has faults; nothing was published.',
+    Status.CONFLICT: 'Another edit of the same revision was accepted.',
+    Status.UNKNOWN: 'The request may or may not have had effect.',
+    Status.UNREACHABLE: 'No server took the request; nothing was changed.',
+    Status.NOT_EVERYWHERE: 'The text is accepted, but some members have not'
+    ' confirmed it in time; or some have not answered a report.',
+    Status.REFUSED: 'The server refused the request; nothing was changed.',
+    Status.INTERNAL: 'The client failed in a way that it did not expect.',
+    Status.INTERRUPTED: 'Stopped by the user.',
+}
--- /dev/null
+++ b/tests/unit/test_reference.py
@@ -0,0 +1,19 @@
+"""Generated pages."""
+
+import pathlib
+
+from lentildeal._internal.cli import status_codes
+from lentildeal._internal.config import reference
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+def test_reference_is_current():
+    """An option is changed and its page is not generated again."""
+    page = (ROOT / 'docs' / 'reference.md').read_text(encoding='utf-8')
+    assert page == reference.make_reference()
+
+
+def test_every_exit_status_is_documented():
+    """A new exit status has no meaning in the reference."""
+    assert set(status_codes.MEANINGS) == set(status_codes.Status)
