--- a/src/lentildeal/_internal/cli/server.py
+++ b/src/lentildeal/_internal/cli/server.py
@@ -88,13 +88,17 @@
             UnreachableError: None did.
             RefusedError: A server answered with a problem.
         """
-        failures = []
+        failures: list[exceptions.LentildealError] = []
         for address in self._addresses:
             try:
                 return self._call(address, 'GET', path, None, timeout_s)
             except (UnreachableError, AnswerLostError) as error:
-                failures.append(error.message)
-        raise UnreachableError('; '.join(failures))
+                failures.append(error)
+            except RefusedError as error:
+                if not error.is_for_another_server:
+                    raise
+                failures.append(error)
+        raise _join_failures(failures)
 
     def post(
         self,
@@ -119,10 +123,7 @@
                 if not error.is_for_another_server:
                     raise
                 failures.append(error)
-        for error in failures:
-            if isinstance(error, RefusedError):
-                raise error
-        raise UnreachableError('; '.join(e.message for e in failures))
+        raise _join_failures(failures)
 
     def _call(self, address, method, path, value, timeout_s) -> Answer:
         url = f'http://{address}{path}'
@@ -154,6 +155,16 @@
             print(message, file=sys.stderr)
 
 
+def _join_failures(
+    failures: list[exceptions.LentildealError],
+) -> exceptions.LentildealError:
+    """Makes one error of all; a refusal says more than no connection."""
+    for error in failures:
+        if isinstance(error, RefusedError):
+            return error
+    return UnreachableError('; '.join(error.message for error in failures))
+
+
 def _read_answer(address: str, response: urllib3.BaseHTTPResponse) -> Answer:
     try:
         value = json.loads(response.data or b'null')
--- a/src/lentildeal/_internal/config/publish.py
+++ b/src/lentildeal/_internal/config/publish.py
@@ -230,16 +230,12 @@
         )
 
     def _list_members(self) -> list[members.Member]:
-        try:
-            return list(self._kernel.plugin('membership').members())
-        except KeyError:
-            return []
+        membership = self._kernel.find_plugin('membership')
+        return [] if membership is None else list(membership.members())
 
     def _cut_off_domains(self) -> typing.Iterable[ids.FailureDomain]:
-        try:
-            return self._kernel.plugin('membership').cut_off_domains()
-        except KeyError:
-            return ()
+        membership = self._kernel.find_plugin('membership')
+        return () if membership is None else membership.cut_off_domains()
 
 
 def _read_call(request: http_server.Request) -> _PublishCall:
--- a/src/lentildeal/_internal/config/reader.py
+++ b/src/lentildeal/_internal/config/reader.py
@@ -106,10 +106,8 @@
 
     def live_members(self) -> list[members.Member]:
         """Members that are live, none without the membership plug-in."""
-        try:
-            return list(self._kernel.plugin('membership').live())
-        except KeyError:
-            return []
+        membership = self._kernel.find_plugin('membership')
+        return [] if membership is None else list(membership.live())
 
     def start(self) -> None:
         """Starts to follow the log and answers peers."""
--- a/tests/lib/fake_kernel.py
+++ b/tests/lib/fake_kernel.py
@@ -59,6 +59,10 @@
         """Returns a plug-in by name."""
         return self.plugins[name]
 
+    def find_plugin(self, name):
+        """Returns a plug-in by name, or None."""
+        return self.plugins.get(name)
+
     def spawn(self, name, function, *arguments):
         """Runs a function in a green thread."""
         self._threads.append(eventlet.spawn(function, *arguments))
@@ -70,10 +74,10 @@
 
     def request(self, method, path, value=None, query=None):
         """Calls a route and returns status and JSON value."""
-        handler, parameters = self.router.find(method, path)
+        route, parameters = self.router.find(method, path)
         body = b'' if value is None else json.dumps(value).encode()
         request = http_server.Request(
             method, path, query or {}, parameters, {}, body
         )
-        response = handler(request)
+        response = route.handler(request)
         return response.status, json.loads(response.body)
