--- a/src/lentildeal/_internal/config/reader.py
+++ b/src/lentildeal/_internal/config/reader.py
@@ -51,6 +51,7 @@
         # State of a peer; counts while it is newer than the own fold.
         self._from_peer = fold_module.NOTHING
         self._is_log_reachable = False
+        self._is_log_short = False
         self._handlers: list[typing.Callable[[], None]] = []
         self._progress = eventlet.event.Event()
 
@@ -147,6 +148,7 @@
             self._set_reachable(False, str(error))
             return False
         self._set_reachable(True)
+        self._note_log_end(page.next)
         before = self.revision
         self._fold.fold(page)
         self._announce_change(before)
@@ -184,6 +186,22 @@
             self._from_peer = effective
         self._announce_change(before)
 
+    def _note_log_end(self, next_offset: ids.Offset) -> None:
+        """Warns once when the log has fewer records than were read.
+
+        A log that was emptied gives offsets again that this instance has
+        folded, so that it would skip the new records.
+        """
+        is_short = next_offset < self._fold.next_offset
+        if is_short and not self._is_log_short:
+            logger.error(
+                'the log ends at offset {}, but offset {} was read before;'
+                ' edits have no effect here until this daemon is started anew',
+                next_offset,
+                self._fold.next_offset - 1,
+            )
+        self._is_log_short = is_short
+
     def _set_reachable(self, is_reachable: bool, reason: str = '') -> None:
         _log_reachable_gauge.set(is_reachable)
         if is_reachable == self._is_log_reachable:
