--- a/src/lentildeal/_internal/orders/terms.py
+++ b/src/lentildeal/_internal/orders/terms.py
@@ -1,7 +1,7 @@
 """Fencing terms: who may issue orders to a replica.
 
-The token of a replica is the log offset of the ``term`` record that this
-daemon appended when it gained the replica. A later owner's record has a
+The token of a replica follows from the log offset of the ``term`` record that
+this daemon appended when it gained the replica. A later owner's record has a
 higher offset, so a target that checks tokens refuses orders of the earlier
 one.
 """
@@ -30,6 +30,15 @@
 )
 
 
+def make_token(offset: ids.Offset) -> ids.FencingToken:
+    """Makes the token of a term record.
+
+    Offsets start at 0, which is also what a target reports before its first
+    order. The token of the first record has to be higher than that.
+    """
+    return ids.FencingToken(offset + 1)
+
+
 class TermKeeper:
     """Fencing tokens of the replicas that this daemon owns."""
 
@@ -119,5 +128,5 @@
         _appends_total.labels('done').inc()
         self._is_log_down = False
         for address in gained & self._owned:
-            self._tokens[address] = ids.FencingToken(offset)
+            self._tokens[address] = make_token(offset)
         return True
