--- a/tests/lib/fake_kernel.py
+++ b/tests/lib/fake_kernel.py
@@ -59,6 +59,10 @@
         """Returns a plug-in by name."""
         return self.plugins[name]
 
+    def find_plugin(self, name):
+        """Returns a plug-in by name, or None."""
+        return self.plugins.get(name)
+
     def spawn(self, name, function, *arguments):
         """Runs a function in a green thread."""
         self._threads.append(eventlet.spawn(function, *arguments))
