--- /dev/null
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -0,0 +1,273 @@
+"""Plug-in ``callers``: HTTP interface of live calls."""
+
+from __future__ import annotations
+
+import json
+import secrets
+import typing
+
+from lentildeal._internal.callers import attempts
+from lentildeal._internal.callers import calls
+from lentildeal._internal.callers import claims
+from lentildeal._internal.callers import completions
+from lentildeal._internal.callers import dispatch
+from lentildeal._internal.callers import services
+from lentildeal._internal import exceptions
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
+from lentildeal._internal.models import text as text_module
+from lentildeal._internal.network import http_server
+from lentildeal._internal.platform import base
+from lentildeal._internal.platform import http_engine  # noqa: F401
+from lentildeal._internal.routing import slots
+from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import hashing
+
+ServiceAnswer = calls.ServiceAnswer
+
+DEADLINE_HEADER = 'x-deadline-ms'
+KEY_HEADER = 'idempotency-key'
+LONGEST_KEY = 256
+# Longest deadline that a caller may ask for, in milliseconds.
+LONGEST_DEADLINE_MS = 3_600_000
+LONGEST_DEADLINE_DIGITS = 18
+
+
+@plugins.register('callers', after=('config', 'slots'))
+class Callers(plugins.Plugin):
+    """Serves live calls."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self._config = kernel.plugin('config')
+        self._dispatcher = dispatch.Dispatcher(
+            kernel.plugin('slots'), kernel.settings.failure_domain
+        )
+        self._service_caller = services.ServiceCaller()
+        self._engines: dict[ids.ReplicaAddress, base.Engine] = {}
+        self._claims = claims.Claims(kernel, self._config.log)
+        self._reads_claims = False
+        self._batch_s = kernel.settings.timing.relay_batch_ms / 1000
+
+    def start(self) -> None:
+        """Registers the routes."""
+        router = self._kernel.router
+        router.add('POST', '/v1/completions', self._complete)
+        router.add('*', '/v1/services/{service}/{path*}', self._serve)
+        self._config.on_change(self._start_claims)
+        self._start_claims()
+
+    def call_service(
+        self,
+        service: ids.ServiceName,
+        path: str,
+        method: str = 'POST',
+        headers: typing.Optional[typing.Mapping[str, str]] = None,
+        body: bytes = b'',
+        deadline: typing.Optional[clock.Deadline] = None,
+        is_caller_gone: typing.Callable[[], bool] = lambda: False,
+    ) -> ServiceAnswer:
+        """Calls a plain service.
+
+        Args:
+            service: Name of the service.
+            path: Encoded path and query, without the leading slash.
+            method: HTTP method.
+            headers: Request headers.
+            body: Request body.
+            deadline: When the answer is wanted; default from the text.
+            is_caller_gone: Whether the answer is no longer wanted.
+
+        Raises:
+            exceptions.NotFoundError: There is no such plain service.
+            exceptions.NotRunError: No byte was sent.
+            exceptions.MayHaveRunError: No whole answer came in time.
+            exceptions.RanAndFailedError: The service reported a fault.
+        """
+        call = self._make_call(
+            service,
+            text_module.TargetKind.SERVICE,
+            deadline,
+            is_caller_gone=is_caller_gone,
+        )
+        sent = headers or {}
+        path = path.lstrip('/')
+
+        def run() -> ServiceAnswer:
+            return self._dispatcher.run(
+                call,
+                lambda attempt: self._service_caller.call_replica(
+                    call, attempt, method, path, sent, body
+                ),
+            )
+
+        fingerprint = hashing.hash_text(method, path, body.hex())
+        return self._run_keyed(call, _find_key(sent), fingerprint, run)
+
+    def _run_keyed(
+        self,
+        call: calls.Call,
+        key: typing.Optional[str],
+        fingerprint: int,
+        run: claims.Run,
+    ) -> ServiceAnswer:
+        """Claims the key first if the call must not be repeated."""
+        if key is None or call.service.idempotent:
+            return run()
+        return self._claims.run_once(
+            call.name, key, fingerprint, call.deadline, run
+        )
+
+    def _start_claims(self) -> None:
+        """Reads the stream of claims once any service may need it."""
+        text = self._config.text
+        if text is None or self._reads_claims:
+            return
+        if not all(s.idempotent for s in text.services.values()):
+            self._reads_claims = True
+            self._claims.start()
+
+    def _serve(self, request: http_server.Request) -> http_server.Response:
+        answer = self.call_service(
+            ids.ServiceName(request.parameters['service']),
+            services.make_path(request.parameters['path'], request.query),
+            request.method,
+            request.headers,
+            request.body,
+            read_deadline(request),
+            request.is_caller_gone,
+        )
+        return http_server.Response(answer.status, answer.headers, answer.body)
+
+    def _complete(self, request: http_server.Request) -> http_server.Response:
+        body = completions.read_body(request)
+        call = self._make_call(
+            body.model,
+            text_module.TargetKind.ENGINE,
+            read_deadline(request),
+            body.prompt,
+            request.is_caller_gone,
+        )
+        is_keyed = _find_key(request.headers) is not None
+        if body.is_streamed and (call.service.idempotent or not is_keyed):
+            stream = self._dispatcher.run(
+                call, lambda attempt: self._open_stream(call, attempt, body)
+            )
+            return completions.make_response(body, stream)
+        return self._complete_whole(request, call, body)
+
+    def _complete_whole(self, request, call, body) -> http_server.Response:
+        def run() -> ServiceAnswer:
+            whole = self._dispatcher.run(
+                call,
+                lambda attempt: completions.read_whole(
+                    body, self._open_stream(call, attempt, body)
+                ),
+            )
+            return ServiceAnswer(200, {}, json.dumps(whole).encode())
+
+        fingerprint = hashing.hash_text('completion', request.body.hex())
+        key = _find_key(request.headers)
+        answer = self._run_keyed(call, key, fingerprint, run)
+        if body.is_streamed:
+            return completions.make_replayed_response(answer.body)
+        headers = {'Content-Type': http_server.JSON_TYPE}
+        return http_server.Response(answer.status, headers, answer.body)
+
+    def _open_stream(
+        self,
+        call: calls.Call,
+        attempt: attempts.Attempt,
+        body: completions.CompletionBody,
+    ) -> completions.EngineStream:
+        call.check_wanted()
+        # Attempts have different ids, so that a cancel of one that was given
+        # up can not end another one.
+        request_id = ids.RequestId(f'{call.request_id}-{secrets.token_hex(4)}')
+        return completions.EngineStream(
+            call,
+            attempt,
+            self._make_engine(call, attempt.replica.address),
+            base.CompletionRequest(request_id, body.prompt, body.max_tokens),
+            self._batch_s,
+        )
+
+    def _make_engine(
+        self, call: calls.Call, address: ids.ReplicaAddress
+    ) -> base.Engine:
+        """Shares an adapter unless the call needs a fresh connection."""
+        if not call.service.idempotent:
+            return base.engines.make(call.target.adapter, address)
+        if address not in self._engines:
+            self._engines[address] = base.engines.make(
+                call.target.adapter, address
+            )
+        return self._engines[address]
+
+    def _make_call(
+        self,
+        name: ids.ServiceName,
+        kind: text_module.TargetKind,
+        deadline: typing.Optional[clock.Deadline],
+        prefix: typing.Optional[str] = None,
+        is_caller_gone: typing.Callable[[], bool] = lambda: False,
+    ) -> calls.Call:
+        text = self._config.text
+        if text is None:
+            raise slots.refusal(
+                outcomes.Cause.NO_CONFIGURATION,
+                'no configuration is in effect at this instance yet',
+            )
+        service = text.services.get(name)
+        target = text.targets.get(service.target) if service else None
+        if target is None or target.kind is not kind:
+            raise exceptions.NotFoundError(
+                f'there is no service "{name}" of kind "{kind.value}"'
+            )
+        if deadline is None:
+            deadline = clock.Deadline(service.deadline_ms / 1000)
+        return calls.Call(
+            request_id=ids.RequestId(secrets.token_hex(8)),
+            name=name,
+            service=service,
+            target=target,
+            deadline=deadline,
+            prefix=prefix,
+            is_caller_gone=is_caller_gone,
+        )
+
+
+def _find_key(headers: typing.Mapping[str, str]) -> typing.Optional[str]:
+    """Returns the idempotency key, None without one.
+
+    Raises:
+        exceptions.BadRequestError: The key is too long.
+    """
+    for name, value in headers.items():
+        if name.lower() == KEY_HEADER and value:
+            if len(value) > LONGEST_KEY:
+                raise exceptions.BadRequestError(
+                    f'Idempotency-Key has more than {LONGEST_KEY} characters'
+                )
+            return value
+    return None
+
+
+def read_deadline(
+    request: http_server.Request,
+) -> typing.Optional[clock.Deadline]:
+    """Reads the time left from a request's header.
+
+    Raises:
+        exceptions.BadRequestError: The header is not valid.
+    """
+    value = request.headers.get(DEADLINE_HEADER)
+    if value is None:
+        return None
+    is_number = value.isascii() and value.isdigit()
+    if not is_number or len(value) > LONGEST_DEADLINE_DIGITS:
+        raise exceptions.BadRequestError(
+            'X-Deadline-Ms must be a whole number of milliseconds'
+        )
+    return clock.Deadline(min(int(value), LONGEST_DEADLINE_MS) / 1000)
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -34,6 +34,7 @@
         parameters: Values of the placeholders of the route's pattern.
         headers: Values by lower-case name.
         body: Whole body.
+        socket: Connection of the caller, None in tests without one.
     """
 
     method: str
@@ -42,6 +43,21 @@
     parameters: dict[str, str]
     headers: dict[str, str]
     body: bytes = b''
+    socket: typing.Any = None
+
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed the connection."""
+        if self.socket is None:
+            return False
+        try:
+            data = self.socket.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return data == b''
 
     def read_json(self) -> typing.Any:
         """Decodes the body.
@@ -163,6 +179,8 @@
             self._socket,
             self._serve,
             log_output=False,
+            # The default holds chunks back until there are 4,096 bytes.
+            minimum_chunk_size=1,
             max_size=self._settings.limits.connections,
             socket_timeout=KEEPALIVE_S,
             debug=False,
@@ -227,9 +245,11 @@
             logger.opt(exception=error).error('request handler failed')
             return problems.to_response(error)
 
-    def _read_request(self, environ) -> Request:
-        length = environ.get('CONTENT_LENGTH') or '0'
+    def _read_body(self, environ) -> bytes:
         limit = self._settings.limits.request_bytes
+        if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
+            return self._read_chunked_body(environ, limit)
+        length = environ.get('CONTENT_LENGTH') or '0'
         if not length.isdigit() or int(length) > limit:
             raise exceptions.BadRequestError(
                 f'the body has {length} bytes, {limit} are allowed',
@@ -240,6 +260,24 @@
             raise exceptions.BadRequestError(
                 f'the body ended after {len(body)} of {length} bytes'
             )
+        return body
+
+    def _read_chunked_body(self, environ, limit: int) -> bytes:
+        try:
+            body = environ['wsgi.input'].read(limit + 1)
+        except (OSError, ValueError) as error:
+            raise exceptions.BadRequestError(
+                f'the chunked body is not complete: {error}'
+            ) from error
+        if len(body) > limit:
+            raise exceptions.BadRequestError(
+                f'the body has more than the {limit} bytes that are allowed',
+                remedy='send a smaller body',
+            )
+        return body
+
+    def _read_request(self, environ) -> Request:
+        body = self._read_body(environ)
         headers = {
             name[5:].replace('_', '-').lower(): value
             for name, value in environ.items()
@@ -254,6 +292,7 @@
             parameters={},
             headers=headers,
             body=body,
+            socket=environ['eventlet.input'].get_socket(),
         )
 
 
