--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -32,7 +32,7 @@
 OWNERLESS_POLL_S = 0.05
 MAX_OWNERLESS_WAITING = 200
 # Replicas whose queues are asked before a refusal is passed on.
-MAX_QUEUES_ASKED = 3
+MAX_QUEUES_ASKED = 2
 
 _requests_total = prometheus_client.Counter(
     'lentildeal_calls_total',
--- a/src/lentildeal/_internal/routing/slots.py
+++ b/src/lentildeal/_internal/routing/slots.py
@@ -29,6 +29,8 @@
 # rollout can hold its slot for minutes.
 HEADROOM_MEMORY_S = 60.0
 RETRY_AFTER_S = 0.1
+# Part of a call's time that is kept for the way to the replica and back.
+TIME_MARGIN = 0.1
 
 
 class TicketState(str, enum.Enum):
@@ -53,10 +55,17 @@
         self.deadline = deadline
         self.state = TicketState.WAITING
         self.charged = 0.0
+        self.granted_s = 0.0
+        self.margin_s = TIME_MARGIN * deadline.remaining_s if deadline else 0.0
         self._event = eventlet.event.Event()
 
-    def grant(self) -> None:
+    def is_hopeless(self, needed_s: float) -> bool:
+        """Whether too little time is left for work that takes so long."""
+        return self.deadline.remaining_s <= needed_s + self.margin_s
+
+    def grant(self, now_s: float) -> None:
         """Hands out the slot."""
+        self.granted_s = now_s
         self.state = TicketState.GRANTED
         self._event.send(None)
 
@@ -106,6 +115,7 @@
         self._live: dict[ids.ClubName, collections.deque[Ticket]] = {}
         self._rollouts: collections.deque[Ticket] = collections.deque()
         self._in_flight = {kind: 0 for kind in outcomes.WorkClass}
+        self._now = now
         self._paused = False
         self._lives_since_rollout = 0
         self._costs: dict[ids.ClubName, float] = {}
@@ -217,7 +227,8 @@
 
     def _check_expected_time(self, club, deadline) -> None:
         wait_s = self.expected_wait_s(club)
-        if wait_s + self._live_time.high_s <= deadline.remaining_s:
+        usable_s = deadline.remaining_s * (1 - TIME_MARGIN)
+        if wait_s + self._live_time.high_s <= usable_s:
             return
         if wait_s == 0.0 and not deadline.has_passed:
             # A free slot is never refused: the estimate may be outdated.
@@ -256,7 +267,7 @@
             if ticket is None:
                 return
             self._in_flight[ticket.work_class] += 1
-            ticket.grant()
+            ticket.grant(self._now())
 
     def _pop_next(self) -> typing.Optional[Ticket]:
         self._drop_hopeless()
@@ -280,11 +291,12 @@
     def _drop_hopeless(self) -> None:
         """Refuses waiting calls that can no longer end in time."""
         # With no live call in flight one is let through, because otherwise
-        # an outdated mean above all deadlines would never be corrected.
-        is_busy = self._in_flight[outcomes.WorkClass.LIVE] > 0
-        needed_s = self._live_time.mean_s if is_busy else 0.0
+        # an outdated estimate above all deadlines would never be corrected.
+        if not self._in_flight[outcomes.WorkClass.LIVE]:
+            return
+        needed_s = self._live_time.high_s
         for club, queue in list(self._live.items()):
-            while queue and queue[0].deadline.remaining_s <= needed_s:
+            while queue and queue[0].is_hopeless(needed_s):
                 queue.popleft().refuse(
                     refusal(outcomes.Cause.DEADLINE, 'no free slot in time')
                 )
@@ -335,7 +347,9 @@
         if ticket.work_class is outcomes.WorkClass.LIVE:
             self._shares.charge(ticket.club, cost - ticket.charged)
             if is_success and seconds > 0:
-                self._live_time.record(seconds)
+                # The slot is taken longer than the replica is busy.
+                held_s = self._now() - ticket.granted_s
+                self._live_time.record(max(seconds, held_s))
                 mean = self._costs.get(ticket.club, cost)
                 self._costs[ticket.club] = mean + (cost - mean) / 8
         if is_success and seconds > 0:
