--- a/bench/calls.py
+++ b/bench/calls.py
@@ -21,6 +21,7 @@
 DEADLINE_MS = 500
 PHASE_S = 6.0
 WARM_UP_S = 2.0
+OVERLOAD_ROUNDS = 3
 SETTLE_S = 6.0
 SETTLE_CALLS = 120
 
@@ -106,12 +107,20 @@
     """Goodput at twice the capacity relative to that at capacity."""
     with start_federation() as started:
         drive(started, CAPACITY_PER_S, WARM_UP_S)
-        full = drive(started, CAPACITY_PER_S, PHASE_S)
-        over = drive(started, 2 * CAPACITY_PER_S, PHASE_S)
+        # Alternating rounds share what else the machine does.
+        rounds = [
+            (
+                drive(started, CAPACITY_PER_S, PHASE_S),
+                drive(started, 2 * CAPACITY_PER_S, PHASE_S),
+            )
+            for _ in range(OVERLOAD_ROUNDS)
+        ]
+    at_capacity = sum(full.on_time for full, _ in rounds)
+    overloaded = sum(over.on_time for _, over in rounds)
     yield (
         'overload.goodput',
         registry.Result(
-            over.on_time / full.on_time,
+            overloaded / at_capacity,
             'ratio',
             bound=0.95,
             is_upper=False,
@@ -120,7 +129,10 @@
     yield (
         'overload.refusal-time',
         registry.Result(
-            over.refusal_s * 1000, 'ms', DEADLINE_MS, note='deadline'
+            rounds[-1][1].refusal_s * 1000,
+            'ms',
+            DEADLINE_MS,
+            note='deadline',
         ),
     )
 
--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -19,6 +19,7 @@
 from lentildeal._internal.routing import chooser
 from lentildeal._internal.routing import grants
 from lentildeal._internal.routing import health as health_module
+from lentildeal._internal.routing import refusals
 from lentildeal._internal.routing import retries
 from lentildeal._internal.routing import slots
 from lentildeal._internal.utils import clock
@@ -81,6 +82,7 @@
         )
         self._budgets = retries.RetryBudgets()
         self._ownerless_waiting = 0
+        self._refusals = refusals.RefusalMemory()
         self._direct: collections.Counter[ids.ReplicaAddress] = (
             collections.Counter()
         )
@@ -267,6 +269,9 @@
         raise _most_telling(refused)
 
     def _acquire(self, call, replica, suffix: str) -> attempts.Attempt:
+        key = replica.address, call.service.club
+        remaining_s = call.deadline.remaining_s
+        self._refusals.check(key, remaining_s)
         self._loads.begin(replica.address)
         try:
             grant = self._slots.acquire(
@@ -276,8 +281,10 @@
                 ids.RequestId(f'{call.request_id}.{suffix}'),
                 call.deadline,
             )
-        except BaseException:
+        except BaseException as error:
             self._loads.end(replica.address)
+            if isinstance(error, exceptions.NotRunError):
+                self._refusals.record(key, remaining_s, error)
             raise
         return attempts.Attempt(call, replica, grant, self._loads, self.health)
 
--- a/tests/unit/routing/test_choice.py
+++ b/tests/unit/routing/test_choice.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.routing import chooser
 from lentildeal._internal.routing import health
+from lentildeal._internal.routing import refusals
 from lentildeal._internal.routing import retries
 from lentildeal._internal.utils import clock
 
@@ -174,6 +176,19 @@
     assert 95 <= spent <= 100
 
 
+def test_refusal_is_remembered_briefly_and_for_its_club_only(now):
+    """A queue that is refused unasked when it has become free."""
+    memory = refusals.RefusalMemory(now)
+    error = exceptions.NotRunError('full', cause='deadline', retry_after_s=0.4)
+    memory.record((REPLICAS[0], 'a'), 0.5, error)
+    with pytest.raises(exceptions.NotRunError):
+        memory.check((REPLICAS[0], 'a'), 0.5)
+    memory.check((REPLICAS[0], 'a'), 0.6)
+    memory.check((REPLICAS[0], 'b'), 0.5)
+    now.now_s += 0.05
+    memory.check((REPLICAS[0], 'a'), 0.5)
+
+
 @pytest.mark.parametrize(
     (
         'is_idempotent',
