--- a/src/lentildeal/_internal/callers/calls.py
+++ b/src/lentildeal/_internal/callers/calls.py
@@ -27,6 +27,7 @@
         deadline: When the caller gives up.
         prefix: Prompt of a completion, for the prefix cache.
         is_caller_gone: Whether nobody waits for the answer any more.
+        started_s: Monotonic time of the call's arrival, in seconds.
     """
 
     request_id: ids.RequestId
@@ -36,6 +37,7 @@
     deadline: clock.Deadline
     prefix: typing.Optional[str] = None
     is_caller_gone: typing.Callable[[], bool] = lambda: False
+    started_s: float = dataclasses.field(default_factory=clock.monotonic_s)
 
     def check_wanted(self) -> None:
         """Stops a call before anything is sent to a target.
--- a/src/lentildeal/_internal/callers/completions.py
+++ b/src/lentildeal/_internal/callers/completions.py
@@ -19,6 +19,8 @@
 MAX_TOKENS_DEFAULT = 256
 LARGEST_MAX_TOKENS = 1_000_000
 
+OnEnd = typing.Callable[[typing.Optional[Exception]], None]
+
 
 @dataclasses.dataclass(frozen=True)
 class CompletionBody:
@@ -139,9 +141,12 @@
 class EventBody:
     """Body of a streamed answer: one event for each batch of tokens."""
 
-    def __init__(self, body: CompletionBody, stream: EngineStream) -> None:
+    def __init__(
+        self, body: CompletionBody, stream: EngineStream, on_end: OnEnd
+    ) -> None:
         self._body = body
         self._stream = stream
+        self._on_end = on_end
         self._tokens = 0
         self._version: typing.Optional[int] = None
         self._is_done = False
@@ -153,9 +158,14 @@
         """Returns events; an error ends the answer without its marker."""
         if self._is_done:
             raise StopIteration
-        chunk = next(self._stream, None)
+        try:
+            chunk = next(self._stream, None)
+        except exceptions.LentildealError as error:
+            self._on_end(error)
+            raise
         if chunk is None:
             self._is_done = True
+            self._on_end(None)
             return self._format_end()
         self._stream.note_delivered()
         self._tokens += chunk.token_count
@@ -201,11 +211,17 @@
 
 
 def make_response(
-    body: CompletionBody, stream: EngineStream
+    body: CompletionBody, stream: EngineStream, on_end: OnEnd
 ) -> http_server.Response:
-    """Makes the streamed response for a stream that has begun."""
+    """Makes the streamed response for a stream that has begun.
+
+    Args:
+        body: Body of the request.
+        stream: The stream.
+        on_end: Called with the error that ended the answer, or None.
+    """
     headers = {'Content-Type': sse.CONTENT_TYPE, 'Cache-Control': 'no-store'}
-    return http_server.Response(200, headers, EventBody(body, stream))
+    return http_server.Response(200, headers, EventBody(body, stream, on_end))
 
 
 def make_replayed_response(whole: bytes) -> http_server.Response:
--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -11,6 +11,7 @@
 from lentildeal._internal.callers import claims
 from lentildeal._internal.callers import completions
 from lentildeal._internal.callers import dispatch
+from lentildeal._internal.callers import objectives
 from lentildeal._internal.callers import services
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
@@ -24,6 +25,7 @@
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import hashing
 
+T = typing.TypeVar('T')
 ServiceAnswer = calls.ServiceAnswer
 
 DEADLINE_HEADER = 'x-deadline-ms'
@@ -95,7 +97,7 @@
         path = path.lstrip('/')
 
         def run() -> ServiceAnswer:
-            return self._dispatcher.run(
+            return self._run_whole(
                 call,
                 lambda attempt: self._service_caller.call_replica(
                     call, attempt, method, path, sent, body
@@ -105,6 +107,33 @@
         fingerprint = hashing.hash_text(method, path, body.hex())
         return self._run_keyed(call, _find_key(sent), fingerprint, run)
 
+    def _run_whole(self, call: calls.Call, function: dispatch.Run[T]) -> T:
+        """Runs a call and records its end."""
+        try:
+            result = self._dispatcher.run(call, function)
+        except exceptions.LentildealError as error:
+            objectives.record(self._kernel, call, error)
+            raise
+        objectives.record(self._kernel, call)
+        return result
+
+    def _stream(
+        self, call: calls.Call, body: completions.CompletionBody
+    ) -> http_server.Response:
+        """Relays a stream; its end is recorded when it is written."""
+
+        def on_end(error: typing.Optional[Exception]) -> None:
+            objectives.record(self._kernel, call, error)
+
+        try:
+            stream = self._dispatcher.run(
+                call, lambda attempt: self._open_stream(call, attempt, body)
+            )
+        except exceptions.LentildealError as error:
+            on_end(error)
+            raise
+        return completions.make_response(body, stream, on_end)
+
     def _run_keyed(
         self,
         call: calls.Call,
@@ -151,15 +180,12 @@
         )
         is_keyed = _find_key(request.headers) is not None
         if body.is_streamed and (call.service.idempotent or not is_keyed):
-            stream = self._dispatcher.run(
-                call, lambda attempt: self._open_stream(call, attempt, body)
-            )
-            return completions.make_response(body, stream)
+            return self._stream(call, body)
         return self._complete_whole(request, call, body)
 
     def _complete_whole(self, request, call, body) -> http_server.Response:
         def run() -> ServiceAnswer:
-            whole = self._dispatcher.run(
+            whole = self._run_whole(
                 call,
                 lambda attempt: completions.read_whole(
                     body, self._open_stream(call, attempt, body)
--- /dev/null
+++ b/tests/functional/test_connections.py
@@ -0,0 +1,85 @@
+"""Connections of the daemon's HTTP client to plain services."""
+
+import contextlib
+import socket
+import threading
+
+from lentildeal._internal.callers import attempts
+from lentildeal._internal.callers import calls
+from lentildeal._internal.callers import services
+from lentildeal._internal.models import text as text_module
+from lentildeal._internal.routing import chooser
+from lentildeal._internal.routing import grants
+from lentildeal._internal.routing import health
+from lentildeal._internal.utils import clock
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class KeepAliveServer:
+    """Answers and keeps connections open, whatever the caller asks for.
+
+    Attributes:
+        connections: Connections so far.
+    """
+
+    def __init__(self):
+        self.connections = 0
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        return f'127.0.0.1:{self._listener.getsockname()[1]}'
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._answer, args=(connection,), daemon=True
+                ).start()
+
+    def _answer(self, connection):
+        with contextlib.suppress(OSError):
+            while data := connection.recv(65536):
+                if data.endswith(b'\r\n\r\n'):
+                    connection.sendall(ANSWER)
+
+
+def call_times(address, is_idempotent, count):
+    """Calls a service several times and returns the bodies."""
+    target = text_module.Target(
+        text_module.TargetKind.SERVICE, {'a': [address]}
+    )
+    service = text_module.Service('c', 't', is_idempotent)
+    caller = services.ServiceCaller()
+    bodies = []
+    for _ in range(count):
+        call = calls.Call('r', 's', service, target, clock.Deadline(10.0))
+        attempt = attempts.Attempt(
+            call,
+            chooser.Replica('a', address),
+            grants.Grant(address, 1, lambda *_: None),
+            chooser.LoadBook(),
+            health.HealthBook(),
+        )
+        answer = caller.call_replica(call, attempt, 'GET', 'x', {}, b'')
+        bodies.append(answer.body)
+    return bodies
+
+
+def test_non_idempotent_calls_use_fresh_connections():
+    """A call written to a connection that the service is closing.
+
+    Nobody could tell whether it ran, so it would be ``may_have_run``.
+    """
+    with contextlib.closing(KeepAliveServer()) as server:
+        assert call_times(server.address, False, 5) == [b'ok'] * 5
+        assert server.connections == 5
+        assert call_times(server.address, True, 5) == [b'ok'] * 5
+        assert server.connections == 6
--- /dev/null
+++ b/tests/unit/callers/test_objectives.py
@@ -0,0 +1,64 @@
+"""Causes of calls that were not answered in time."""
+
+import types
+
+import pytest
+
+from lentildeal._internal.callers import calls
+from lentildeal._internal.callers import objectives
+from lentildeal._internal import exceptions
+from lentildeal._internal.utils import clock
+
+
+class FakeBurn:
+    """Keeps what is recorded."""
+
+    def __init__(self):
+        self.records = []
+
+    def record_call(self, service, is_good, seconds, cause=None):
+        self.records.append((is_good, cause))
+
+
+@pytest.mark.parametrize(
+    ('error', 'remaining_s', 'is_gone', 'expected'),
+    [
+        (None, 1.0, False, [(True, None)]),
+        (None, 0.0, False, [(False, 'deadline')]),
+        (
+            exceptions.NotRunError('full', cause='target_full'),
+            1.0,
+            False,
+            [(False, 'target_full')],
+        ),
+        (
+            exceptions.MayHaveRunError('cut'),
+            1.0,
+            False,
+            [(False, 'target_down')],
+        ),
+        (exceptions.MayHaveRunError('late'), 0.0, True, []),
+        (
+            exceptions.RanAndFailedError('bad', status=400),
+            1.0,
+            False,
+            [],
+        ),
+    ],
+)
+def test_end_of_call_counts_for_its_objective(
+    error, remaining_s, is_gone, expected
+):
+    """Faults of callers that burn a club's budget, or lost bad calls."""
+    burn = FakeBurn()
+    kernel = types.SimpleNamespace(find_plugin={'burn': burn}.get)
+    call = calls.Call(
+        'r',
+        's',
+        None,
+        None,
+        clock.Deadline(remaining_s),
+        is_caller_gone=lambda: is_gone,
+    )
+    objectives.record(kernel, call, error)
+    assert burn.records == expected
