--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -160,7 +160,7 @@
     def _serve(self, request: http_server.Request) -> http_server.Response:
         answer = self.call_service(
             ids.ServiceName(request.parameters['service']),
-            services.make_path(request.parameters['path'], request.query),
+            services.strip_route(request.target),
             request.method,
             request.headers,
             request.body,
--- a/src/lentildeal/_internal/callers/services.py
+++ b/src/lentildeal/_internal/callers/services.py
@@ -4,7 +4,6 @@
 
 import http
 import typing
-import urllib.parse
 
 from lentildeal._internal.callers import attempts
 from lentildeal._internal.callers import calls
@@ -28,6 +27,8 @@
         'x-deadline-ms',
     )
 )
+# Slashes before the service's own path.
+ROUTE_SEGMENTS = 4
 DEADLINE_HEADER = 'X-Deadline-Ms'
 
 
@@ -90,10 +91,13 @@
         return calls.ServiceAnswer(answer.status, headers, answer.body)
 
 
-def make_path(path: str, query: typing.Mapping[str, str]) -> str:
-    """Encodes a decoded path and query again."""
-    quoted = urllib.parse.quote(path)
-    return f'{quoted}?{urllib.parse.urlencode(query)}' if query else quoted
+def strip_route(target: str) -> str:
+    """Removes ``/v1/services/{service}/`` from a path with its query.
+
+    The rest stays as it was sent: decoding and encoding it again would change
+    encoded slashes and repeated or empty parameters.
+    """
+    return target.split('/', ROUTE_SEGMENTS)[-1]
 
 
 def _select_headers(headers: typing.Mapping[str, str]) -> dict[str, str]:
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -35,6 +35,7 @@
         headers: Values by lower-case name.
         body: Whole body.
         socket: Connection of the caller, None in tests without one.
+        target: Path and query as they were sent.
     """
 
     method: str
@@ -44,6 +45,7 @@
     headers: dict[str, str]
     body: bytes = b''
     socket: typing.Any = None
+    target: str = ''
 
     def is_caller_gone(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -293,9 +295,16 @@
             headers=headers,
             body=body,
             socket=environ['eventlet.input'].get_socket(),
+            target=_read_target(environ),
         )
 
 
+def _read_target(environ) -> str:
+    query = environ.get('QUERY_STRING')
+    path = environ['RAW_PATH_INFO']
+    return f'{path}?{query}' if query else path
+
+
 class _Protocol(eventlet.wsgi.HttpProtocol):
     """Counts requests and ends connections while the daemon leaves."""
 
--- a/tests/functional/test_calls.py
+++ b/tests/functional/test_calls.py
@@ -7,9 +7,11 @@
 import random
 import signal
 import socket
+import urllib.parse
 
 import pytest
 
+from lentildeal._internal.callers import services
 from tests.lib import builders
 from tests.lib import federation
 from tests.lib import processes
@@ -191,6 +193,16 @@
     assert all(runs[f'holed-{number}'] == 1 for number in range(20))
 
 
+def test_path_and_query_arrive_as_they_were_sent(plain):
+    """A call whose path or parameters are not those of the caller."""
+    daemon = next(iter(plain.daemons.values()))
+    path = '/caf%C3%A9/a%20b'
+    answer = daemon.call('GET', f'/v1/services/many{path}?x=1&x=2&y=')[1]
+    assert answer['path'] == urllib.parse.unquote(path, 'latin-1')
+    target = '/v1/services/many/a%2Fb?x=1&x=2&y='
+    assert services.strip_route(target) == 'a%2Fb?x=1&x=2&y='
+
+
 def test_caller_that_goes_away_causes_no_second_run(plain):
     """A repeat that runs while or after the first one runs unwatched."""
     first, second = plain.daemons.values()
