Hedge slow replicas by finished rates, adapt the stagger

The median of running attempts hid a slow replica when all attempts that were left ran on it, and the stagger of loads kept replicas behind when versions came faster than it. Rates of finished attempts now count, the cost of a hedge is the slow attempt's waste, and a replica that no trainer can use any more loads at once.

--- a/src/lentildeal/_internal/orders/swaps.py
+++ b/src/lentildeal/_internal/orders/swaps.py
@@ -84,14 +84,14 @@
         endpoint = settings.platform.weights
         self._store = base.weight_stores.make(endpoint.adapter, endpoint)
         self._terms = terms.TermKeeper(
-            base.make_log_service(settings),
+            self._config.log,
             settings.instance,
             kernel.incarnation,
         )
         self._engines: dict[ids.ReplicaAddress, base.Engine] = {}
         self._versions: dict[ids.ReplicaAddress, ids.Version] = {}
         self._replicas: dict[ids.ReplicaAddress, Replica] = {}
-        self._heard_s: dict[ids.ModelName, float] = {}
+        self._version_times = pacing.VersionTimes()
         self._load_times = pacing.LoadTimes()
         self._changed = wakeup.Wakeup()
 
@@ -182,7 +182,7 @@
         ]
 
     def _on_version(self, model: ids.ModelName, _) -> None:
-        self._heard_s[model] = clock.monotonic_s()
+        self._version_times.note(model, clock.monotonic_s())
         self._changed.set()
 
     # One replica.
@@ -243,13 +243,30 @@
         )
         if loading >= pacing.limit_at_once(owned):
             return LOADING_POLL_S
-        if latest - state.version > 1:
-            # Already late, for example after a restart of the engine.
+        bounds = self._list_bounds(replica.model)
+        if not pacing.is_still_useful(latest - state.version, bounds):
             return 0.0
-        due_s = self._heard_s.get(replica.model, 0.0) + pacing.start_offset_s(
-            replica.address, replica.pool, self._load_times.mean_s
+        return self._get_turn_s(replica) - now_s
+
+    def _get_turn_s(self, replica: Replica) -> float:
+        """Time at which a replica may begin to load the latest version."""
+        window_s = pacing.stagger_window_s(
+            self._load_times.mean_s,
+            self._version_times.interval_s(replica.model),
         )
-        return due_s - now_s
+        return self._version_times.heard_s(
+            replica.model
+        ) + pacing.start_offset_s(replica.address, replica.pool, window_s)
+
+    def _list_bounds(self, model: ids.ModelName) -> list[int]:
+        text = self._config.text
+        if text is None:
+            return []
+        return [
+            trainer.staleness_bound
+            for trainer in text.trainers.values()
+            if trainer.model == model
+        ]
 
     def _order(
         self, replica: Replica, state: base.EngineState, latest: ids.Version
--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -166,7 +166,11 @@
     ) -> None:
         """Takes a complete result."""
         sample, unneeded = self._state.complete(
-            message.attempt, instance, message.text, tuple(message.segments)
+            message.attempt,
+            instance,
+            message.text,
+            tuple(message.segments),
+            clock.monotonic_s(),
         )
         result = 'dropped' if sample is None else 'kept'
         _results_total.labels(self._key.trainer, result).inc()
--- a/src/lentildeal/_internal/rollouts/hedging.py
+++ b/src/lentildeal/_internal/rollouts/hedging.py
@@ -2,50 +2,74 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
+import prometheus_client
+
 from lentildeal._internal.models import ids
 from lentildeal._internal.rollouts import entries
 from lentildeal._internal.rollouts import ordering
 
+# Finished attempts whose rate counts as usual.
+FINISHED_RATES = 64
+
+_hedges_total = prometheus_client.Counter(
+    'lentildeal_rollout_hedges_total',
+    'Attempts started beside a slow one.',
+)
+
 
 class HedgeBudget:
     """Chooses hedges of one step and accounts for their tokens."""
 
-    def __init__(self, predictor: ordering.LengthPredictor) -> None:
+    def __init__(
+        self, predictor: ordering.LengthPredictor, group_size: int
+    ) -> None:
+        self._group_size = group_size
         self._predictor = predictor
         self._spent = 0.0
-        self._started = 0
+        self._finished_rates: collections.deque[float] = collections.deque(
+            maxlen=FINISHED_RATES
+        )
 
-    @property
-    def started(self) -> int:
-        """Hedges started."""
-        return self._started
+    def observe(self, attempt: entries.Attempt, now_s: float) -> None:
+        """Records the rate of an attempt that has finished."""
+        duration_s = max(now_s - attempt.started_s, 0.001)
+        self._finished_rates.append(attempt.tokens / duration_s)
 
     def find(
         self,
         attempts: typing.Iterable[entries.Attempt],
         address: typing.Optional[ids.ReplicaAddress],
         generated: int,
-    ) -> typing.Optional[entries.Entry]:
-        """Finds a sample to hedge that is within the bound.
+    ) -> typing.Optional[entries.Attempt]:
+        """Finds an attempt to hedge that is within the bound.
 
         Args:
             attempts: Running attempts of the step.
             address: Replica that has a free slot, None for any.
             generated: Tokens that the step has generated.
         """
-        entry = _find_slow(attempts, address)
-        if entry is None or not ordering.may_spend_on_hedge(
-            self._spent, self._predict(entry), generated, self._started == 0
+        attempt = _find_slow(attempts, address, self._finished_rates)
+        if attempt is None or not ordering.may_spend_on_hedge(
+            self._spent,
+            self._cost_of(attempt),
+            generated,
+            self._group_size * self._predict(attempt.entry),
         ):
             return None
-        return entry
+        return attempt
+
+    def charge(self, attempt: entries.Attempt) -> None:
+        """Accounts for a hedge of an attempt that is started."""
+        _hedges_total.inc()
+        self._spent += self._cost_of(attempt)
 
-    def charge(self, entry: entries.Entry) -> None:
-        """Accounts for a hedge that is started."""
-        self._started += 1
-        self._spent += self._predict(entry)
+    def _cost_of(self, attempt: entries.Attempt) -> float:
+        return ordering.hedge_cost(
+            attempt.tokens, self._predict(attempt.entry)
+        )
 
     def _predict(self, entry: entries.Entry) -> float:
         return self._predictor.predict(entry.group.prompt.group, entry.reached)
@@ -54,8 +78,9 @@
 def _find_slow(
     attempts: typing.Iterable[entries.Attempt],
     address: typing.Optional[ids.ReplicaAddress],
-) -> typing.Optional[entries.Entry]:
-    """Finds the sample whose slow attempt another replica may repeat."""
+    finished_rates: typing.Sequence[float],
+) -> typing.Optional[entries.Attempt]:
+    """Finds the slow attempt that another replica may repeat."""
     views = [
         ordering.AttemptView(
             number=attempt.number,
@@ -66,8 +91,8 @@
         )
         for attempt in attempts
     ]
-    number = ordering.choose_hedge(views, address)
+    number = ordering.choose_hedge(views, address, finished_rates)
     for attempt in attempts:
         if attempt.number == number:
-            return attempt.entry
+            return attempt
     return None
--- a/src/lentildeal/_internal/rollouts/selection.py
+++ b/src/lentildeal/_internal/rollouts/selection.py
@@ -28,7 +28,7 @@
         self._plan = plan
         self._predictor = predictor
         self._pull_times = _PullTimes()
-        self.hedges = hedging.HedgeBudget(predictor)
+        self.hedges = hedging.HedgeBudget(predictor, plan.group_size)
 
     def note_start(self, address: ids.ReplicaAddress, now_s: float) -> None:
         """Records that a replica took a sample."""
--- a/src/lentildeal/_internal/rollouts/steps.py
+++ b/src/lentildeal/_internal/rollouts/steps.py
@@ -89,11 +89,6 @@
         """Samples started again because of their staleness."""
         return self._stale_runs
 
-    @property
-    def hedges(self) -> int:
-        """Attempts started as hedges."""
-        return self._selector.hedges.started
-
     @property
     def is_generation_held(self) -> bool:
         """Whether too many samples wait for their score."""
@@ -158,6 +153,7 @@
         instance: ids.InstanceId,
         text: str,
         segments: tuple[samples.Segment, ...],
+        now_s: float,
     ) -> tuple[typing.Optional[samples.Sample], list[entries.Attempt]]:
         """Takes the complete result of an attempt.
 
@@ -172,6 +168,7 @@
         entry = attempt.entry
         sample = entry.make_sample(text, segments)
         attempt.tokens = sample.token_count
+        self._selector.hedges.observe(attempt, now_s)
         self._attempts.drop(attempt)
         self._generated_tokens += sample.token_count
         if self._is_over_bound(sample.oldest_version):
@@ -362,10 +359,11 @@
 
     def _start_hedge(self, address) -> entries.Entry | None:
         hedges = self._selector.hedges
-        entry = hedges.find(self._attempts, address, self._generated_tokens)
-        if entry is not None:
-            hedges.charge(entry)
-        return entry
+        slow = hedges.find(self._attempts, address, self._generated_tokens)
+        if slow is None:
+            return None
+        hedges.charge(slow)
+        return slow.entry
 
     def _is_certain_to_be_stale(self, attempt: entries.Attempt) -> bool:
         oldest = attempt.oldest_version
--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -124,6 +124,22 @@
         rollouts.assert_promises(rollouts.wait_until_done(trainer))
 
 
+def test_slow_replica_is_hedged():
+    """A replica that turns slow must not hold up the end of a step."""
+    with federation.Federation() as fed:
+        engines = rollouts.start_pool(fed, '--median-tokens', 60)
+        fed.add_daemons({'a': 2, 'b': 2})
+        trainer = fed.start_trainer('t', 'm', '--steps', 1)
+        processes.wait_for(
+            lambda: engines[0].read_journal()['runs'], 'a sample runs'
+        )
+        engines[0].set_faults(slow_factor=50.0)
+        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+        runs = [run for e in engines for run in e.read_journal()['runs']]
+        hedged = [run for run in runs if run['state'] == 'cancelled']
+        assert hedged and len(runs) > 16
+
+
 def test_swap_that_fails_partway_is_ordered_again():
     """A replica must not stay on its old version after a failed load."""
     with federation.Federation() as fed:
--- a/tests/unit/orders/test_swaps.py
+++ b/tests/unit/orders/test_swaps.py
@@ -59,7 +59,7 @@
         settings=types.SimpleNamespace(platform=platform, instance='a1'),
         incarnation=1,
         plugin=lambda name: types.SimpleNamespace(
-            versions=lambda: {'m': latest}
+            versions=lambda: {'m': latest}, text=None, log=None
         ),
     )
     orders = swaps.WeightOrders(kernel)
--- a/tests/unit/orders/test_terms.py
+++ b/tests/unit/orders/test_terms.py
@@ -97,7 +97,8 @@
 def test_whole_pool_is_loaded_within_limit(load_s):
     """The stagger must leave time for the last replica's load."""
     pool = [f'10.0.0.{number}:80' for number in range(40)]
-    offsets = [pacing.start_offset_s(r, pool, load_s) for r in pool]
+    window_s = pacing.stagger_window_s(load_s)
+    offsets = [pacing.start_offset_s(r, pool, window_s) for r in pool]
     last_s = max(offsets) + load_s + pacing.RESERVE_S
     assert last_s <= pacing.POOL_LIMIT_S
     if load_s <= 3.0:
@@ -106,3 +107,10 @@
             for start in offsets
         )
         assert at_once <= len(pool) / 2 + 1
+
+
+def test_frequent_versions_shorten_the_stagger():
+    """Replicas must not lag behind by more versions than a trainer allows."""
+    assert pacing.stagger_window_s(1.0, 2.0) == 0.5
+    assert not pacing.is_still_useful(1, [0])
+    assert pacing.is_still_useful(1, [0, 1])
--- a/tests/unit/rollouts/test_steps.py
+++ b/tests/unit/rollouts/test_steps.py
@@ -48,7 +48,7 @@
         samples.Segment(version, index, index + 1)
         for index, version in enumerate(versions or (5,))
     )
-    return state.complete(attempt, instance, 'text', segments)
+    return state.complete(attempt, instance, 'text', segments, 1.0)
 
 
 def drain(state):
