Close superseded streams without a change of view

A new attachment elsewhere is no change of the member table, so the older stream could stay open until one came. Attachments are now compared twice a second. Leases are not judged right after a pause of the coordinator, and an announcement succeeds without the coordinator, because heartbeats carry it.

tests/functional/test_rollouts.py::test_older_attachment_is_closed_without_end passes.

--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -25,6 +25,8 @@
 
 # Interval of lease checks, in seconds.
 TICK_S = 1.0
+# A tick that comes this late shows that this process was paused.
+PAUSE_S = 3.0
 # Interval at which all owners are told the backlog again, in seconds. With
 # 350 owners and 200 bytes a notice this takes 14 KB/s.
 RETELL_S = 5.0
@@ -225,17 +227,26 @@
                 self.lose_instance(instance)
 
     def _run_ticks(self) -> None:
+        ticked_s = clock.monotonic_s()
         while self._is_open:
-            lost = self._state.expire(clock.monotonic_s())
-            if lost:
-                _lost_total.labels(self._key.trainer).inc(len(lost))
-                self._cancel(lost)
-            if clock.monotonic_s() - self._told_all_s > RETELL_S:
-                self._told_all_s = clock.monotonic_s()
+            now_s = clock.monotonic_s()
+            # After a pause of this process the owners' notices are still
+            # unread, so no lease is judged until the next tick.
+            if now_s - ticked_s < PAUSE_S:
+                self._expire(now_s)
+            ticked_s = now_s
+            if now_s - self._told_all_s > RETELL_S:
+                self._told_all_s = now_s
                 self._told.clear()
             self._apply_change()
             eventlet.sleep(TICK_S)
 
+    def _expire(self, now_s: float) -> None:
+        lost = self._state.expire(now_s)
+        if lost:
+            _lost_total.labels(self._key.trainer).inc(len(lost))
+            self._cancel(lost)
+
     def _apply_change(self) -> None:
         """Lets the stream and the owners see the new state."""
         self._changed.set()
--- a/src/lentildeal/_internal/rollouts/trainers_api.py
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -5,6 +5,7 @@
 import typing
 
 import eventlet
+from loguru import logger
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
@@ -23,6 +24,7 @@
 from lentildeal._internal.rollouts import steps
 
 FORWARD_TIMEOUT_S = 2.0
+ATTACHMENTS_INTERVAL_S = 0.5
 STEP_ROUTE = '/v1/trainers/{trainer}/steps/{step}'
 
 Coordinator = coordinator_module.StepCoordinator
@@ -57,6 +59,7 @@
         network.on_disconnect(self._on_disconnect)
         self._membership.on_change(self._on_members_changed)
         self._membership.on_version(self._on_model_version)
+        self._kernel.spawn('attachments', self._watch_attachments)
 
     def stop(self) -> None:
         """See the base class."""
@@ -123,12 +126,21 @@
         body = requests.decode(requests.VersionBody, request.body)
         self._confirm(trainer.model, body.version)
         self._membership.announce_version(trainer.model, body.version)
-        instance = self._find_coordinator(name)
-        # Without a known coordinator the heartbeats carry the version.
-        if instance is not None:
-            self._forward(instance, messages.NewVersion(name, body.version))
+        self._hurry_version(name, body.version)
         return http_server.json_response({'version': body.version})
 
+    def _hurry_version(
+        self, name: ids.TrainerName, version: ids.Version
+    ) -> None:
+        """Tells the coordinator at once what heartbeats tell it later."""
+        instance = self._find_coordinator(name)
+        if instance is None:
+            return
+        try:
+            self._forward(instance, messages.NewVersion(name, version))
+        except exceptions.NotRunError as error:
+            logger.debug('version {} of {}: {}', version, name, error)
+
     def _find_trainer(
         self, request: http_server.Request
     ) -> tuple[ids.TrainerName, text_module.Trainer]:
@@ -240,6 +252,12 @@
             if coordinator.is_open:
                 coordinator.check_members()
 
+    def _watch_attachments(self) -> None:
+        """Looks regularly, because a new attachment is no change of view."""
+        while True:
+            eventlet.sleep(ATTACHMENTS_INTERVAL_S)
+            self._drop_superseded()
+
     def _drop_superseded(self) -> None:
         """Closes streams whose trainer has attached elsewhere since."""
         own = self._kernel.settings.instance
--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -1,11 +1,14 @@
 """Rollouts under failures, judged by the journals of the stand-ins."""
 
+import http.client
 import itertools
 import json
 import signal
 import time
 import urllib.request
 
+import pytest
+
 from lentildeal._internal.models import outcomes
 from tests.lib import federation
 from tests.lib import processes
@@ -200,14 +203,40 @@
         assert status == 400 and 'above 2' in problem['remedy']
 
 
-def attach(daemon, body):
-    """Attaches and reads to the end; returns the ids of the samples."""
+def test_older_attachment_is_closed_without_end():
+    """A trainer that attached elsewhere must not be fed by two daemons."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, '--median-tokens', 400, '--base-ms', 20)
+        first, second = fed.add_daemons({'a': 1, 'b': 1})
+        body = {
+            'version': 0,
+            'prompts': [{'group': 'g', 'prompt': 'p'}],
+            'max_tokens': 400,
+            'group_size': 1,
+        }
+        old = open_stream(first, {**body, 'attachment': 1})
+        new = open_stream(second, {**body, 'attachment': 2})
+        with pytest.raises(http.client.IncompleteRead):
+            old.read()
+        assert read_events(new)[-1] == {'event': 'end', 'delivered': 1}
+
+
+def open_stream(daemon, body):
     request = urllib.request.Request(
         f'{daemon.url}/v1/trainers/t/steps/1',
         json.dumps(body).encode(),
         method='POST',
     )
-    with urllib.request.urlopen(request, timeout=30.0) as response:
-        events = [json.loads(line) for line in response]
+    return urllib.request.urlopen(request, timeout=30.0)
+
+
+def read_events(response):
+    with response:
+        return [json.loads(line) for line in response]
+
+
+def attach(daemon, body):
+    """Attaches and reads to the end; returns the ids of the samples."""
+    events = read_events(open_stream(daemon, body))
     assert events[-1]['event'] == 'end'
     return [e['sample']['id'] for e in events if e['event'] == 'sample']
