--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -35,6 +35,7 @@
         headers: Values by lower-case name.
         body: Whole body.
         socket: Connection of the caller, None in tests without one.
+        target: Path and query as they were sent.
     """
 
     method: str
@@ -44,6 +45,7 @@
     headers: dict[str, str]
     body: bytes = b''
     socket: typing.Any = None
+    target: str = ''
 
     def is_caller_gone(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -131,7 +133,18 @@
             _Route(method, re.compile(expression), handler, while_leaving)
         )
 
-    def find(self, method: str, path: str) -> tuple[_Route, dict[str, str]]:
+    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]]:
+        """Finds the handler of a request and its parameters.
+
+        Raises:
+            exceptions.UnknownRouteError: There is none.
+        """
+        route, parameters = self.find_route(method, path)
+        return route.handler, parameters
+
+    def find_route(
+        self, method: str, path: str
+    ) -> tuple[_Route, dict[str, str]]:
         """Finds the route of a request and its parameters.
 
         Raises:
@@ -229,7 +242,9 @@
     def _respond(self, environ) -> Response:
         try:
             request = self._read_request(environ)
-            route, parameters = self._router.find(request.method, request.path)
+            route, parameters = self._router.find_route(
+                request.method, request.path
+            )
             if self._is_refusing and not route.while_leaving:
                 raise exceptions.NotRunError(
                     'this instance is leaving',
@@ -293,9 +308,16 @@
             headers=headers,
             body=body,
             socket=environ['eventlet.input'].get_socket(),
+            target=_read_target(environ),
         )
 
 
+def _read_target(environ) -> str:
+    query = environ.get('QUERY_STRING')
+    path = environ['RAW_PATH_INFO']
+    return f'{path}?{query}' if query else path
+
+
 class _Protocol(eventlet.wsgi.HttpProtocol):
     """Counts requests and ends connections while the daemon leaves."""
 
