Read the instance list rarely once it names this daemon

350 entries every 2 s take 23 kB/s, the whole bound on traffic of a daemon. Later daemons find this one in the list, so from then on it serves only to forget members.

--- a/src/lentildeal/_internal/membership/contacts.py
+++ b/src/lentildeal/_internal/membership/contacts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
 import eventlet
@@ -13,6 +14,12 @@
 from lentildeal._internal.settings import settings as settings_module
 
 
+# Once the list names this daemon, whoever starts later finds it there, and
+# the list is needed only to forget. 350 entries every 2 s would be 23 kB/s,
+# all that a daemon may use.
+SETTLED_INTERVALS = 30
+
+
 def poll_list(
     settings: settings_module.Settings,
     take: typing.Callable[[list[base.ListedInstance]], None],
@@ -25,10 +32,15 @@
     """
     endpoint = settings.platform.instances
     adapter = base.instance_lists.make(endpoint.adapter, endpoint)
+    interval_s = settings.timing.instances_poll_ms / 1000
     is_down = False
     while True:
+        delay_s = interval_s
         try:
-            take(adapter.list_instances())
+            listed = adapter.list_instances()
+            if any(item.instance == settings.instance for item in listed):
+                delay_s = interval_s * SETTLED_INTERVALS
+            take(listed)
             if is_down:
                 logger.info('instance list is back')
             is_down = False
@@ -36,4 +48,5 @@
             if not is_down:
                 logger.warning('instance list is down: {}', error)
             is_down = True
-        eventlet.sleep(settings.timing.instances_poll_ms / 1000)
+        # Jitter, so that daemons that start together don't read together.
+        eventlet.sleep(delay_s * random.uniform(0.8, 1.0))
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -62,7 +62,10 @@
         'Longest wait of one read of the log.', 1000, minimum=10
     )
     instances_poll_ms: int = options.option(
-        'Interval of reading the instance list.', 2000, minimum=10
+        'Interval of reading the instance list until it names this daemon;'
+        ' 30 times as long from then on.',
+        2000,
+        minimum=10,
     )
     weights_poll_ms: int = options.option(
         'Interval of asking the weight store for the latest version.',
