Wake all heartbeat senders of a daemon together

One turn of the event loop then serves all receivers. Each daemon has a phase of its own, so that receivers still hear their peers spread over the interval; the peers of the measurement have, too.

--- a/bench/light_peers.py
+++ b/bench/light_peers.py
@@ -20,8 +20,8 @@
 
 INCARNATION = 2**62
 INTERVAL_S = 0.5
-# Time over which the senders start, so that they don't beat as one.
-SPREAD_S = 1.0
+# Spread of the senders' phases: peers of one daemon beat independently.
+SPREAD_S = INTERVAL_S
 
 
 def start_peer(spec: dict, peer: dict, delay_s: float) -> None:
@@ -47,6 +47,7 @@
         spec['measured'],
         INCARNATION,
         INTERVAL_S,
+        delay_s,
         lambda: content,
         lambda _: None,
     )
--- a/src/lentildeal/_internal/membership/heartbeats.py
+++ b/src/lentildeal/_internal/membership/heartbeats.py
@@ -19,6 +19,7 @@
 from lentildeal._internal.network import peers
 from lentildeal._internal.network import wire
 from lentildeal._internal.utils import backoff
+from lentildeal._internal.utils import clock
 
 # Longest delay between two attempts to reach a silent member, in seconds.
 LONGEST_RETRY_S = 2.0
@@ -172,7 +173,18 @@
 
 
 class Sender:
-    """Sends heartbeats to one receiver in a green thread of its own."""
+    """Sends heartbeats to one receiver in a green thread of its own.
+
+    Args:
+        network: Connections to other daemons.
+        receiver: To whom.
+        incarnation: Of this daemon.
+        interval_s: Time between two heartbeats, in seconds.
+        phase_s: Shift of the wake-ups, the same for all senders of a daemon
+            and another one at each daemon, in seconds.
+        content: Function that returns what the receiver shall know.
+        on_refused: Called when the receiver's address refuses.
+    """
 
     def __init__(
         self,
@@ -180,6 +192,7 @@
         receiver: ids.InstanceId,
         incarnation: ids.Incarnation,
         interval_s: float,
+        phase_s: float,
         content: typing.Callable[[], Content],
         on_refused: typing.Callable[[ids.InstanceId], None],
     ) -> None:
@@ -187,6 +200,7 @@
         self.session = Session(incarnation)
         self._network = network
         self._interval_s = interval_s
+        self._phase_s = phase_s
         self._content = content
         self._on_refused = on_refused
         self._is_sending = False
@@ -251,4 +265,7 @@
             _beats_total.inc()
         else:
             _updates_total.inc()
-        return self._interval_s
+        # All senders of a daemon wake at the same time, in one turn of the
+        # event loop instead of one each.
+        now_s = clock.monotonic_s() + self._phase_s
+        return self._interval_s - now_s % self._interval_s
--- a/src/lentildeal/_internal/membership/plugin.py
+++ b/src/lentildeal/_internal/membership/plugin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
 import eventlet
@@ -49,6 +50,7 @@
         )
         self._own_domain = settings.failure_domain
         self._interval_s = settings.timing.heartbeat_ms / 1000
+        self._phase_s = random.uniform(0.0, self._interval_s)
         self._table = table_module.MemberTable(own, settings.timing)
         self._senders: dict[ids.InstanceId, heartbeats.Sender] = {}
         self._view: typing.Optional[tuple] = None
@@ -297,6 +299,7 @@
             instance,
             self._kernel.incarnation,
             self._interval_s,
+            self._phase_s,
             lambda: self._get_content(instance),
             self._on_refused,
         )
