--- a/src/lentildeal/_internal/routing/owned.py
+++ b/src/lentildeal/_internal/routing/owned.py
@@ -112,8 +112,8 @@
         club: ids.ClubName,
         deadline: clock.Deadline,
         on_queued: typing.Callable[[], None] = lambda: None,
-    ) -> None:
-        """Waits for a slot for a live call.
+    ) -> slots.Ticket:
+        """Waits for a slot for a live call and returns its ticket.
 
         Raises:
             exceptions.NotRunError: There is none in time.
@@ -129,6 +129,12 @@
         except BaseException:
             self.release(holder)
             raise
+        return ticket
+
+    def refresh(self) -> None:
+        """Lets all queues hand out what time has made free."""
+        for replica in self:
+            replica.queue.refresh()
 
     def release(
         self,
@@ -201,6 +207,7 @@
         replica.queue.refuse_all(
             outcomes.Cause.OWNER_UNREACHABLE, 'the queue has moved'
         )
+        replica.queue.set_paused(False)
         self._forget_if_empty(replica)
 
     def _forget_if_empty(self, replica: OwnedReplica) -> None:
--- a/src/lentildeal/_internal/routing/owner.py
+++ b/src/lentildeal/_internal/routing/owner.py
@@ -24,12 +24,13 @@
 ReplicaLoad = chooser.ReplicaLoad
 Grant = grants.Grant
 
-EXPIRY_INTERVAL_S = 1.0
+UPKEEP_INTERVAL_S = 1.0
+NO_WAIT = 'none'
 
 _waits_seconds = prometheus_client.Histogram(
     'lentildeal_slot_wait_seconds',
     'Time that work waits for a slot at its owner.',
-    ['work_class'],
+    ['work_class', 'cause'],
     buckets=(0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 30, 300),
 )
 _refusals_total = prometheus_client.Counter(
@@ -68,7 +69,7 @@
         self._config.on_change(self._update)
         self._membership.on_change(self._update)
         self._update()
-        self._kernel.spawn('slot-expiry', self._expire_grants)
+        self._kernel.spawn('slot-upkeep', self._keep_up)
 
     def acquire(
         self,
@@ -105,7 +106,7 @@
         except BaseException:
             replica.release(ticket, True, 0.0, 0)
             raise
-        _observe_wait(outcomes.WorkClass.ROLLOUT, started_s)
+        _observe_wait(ticket, started_s)
 
         def release(is_success: bool, seconds: float, tokens: int) -> None:
             replica.release(ticket, is_success, seconds, tokens)
@@ -162,9 +163,10 @@
             _reclaimed_total.labels(reason).inc(count)
             logger.warning('took back {} slots of {}', count, instance)
 
-    def _expire_grants(self) -> None:
+    def _keep_up(self) -> None:
         while True:
-            eventlet.sleep(EXPIRY_INTERVAL_S)
+            eventlet.sleep(UPKEEP_INTERVAL_S)
+            self._owned.refresh()
             count = self._owned.release_expired()
             if count:
                 _reclaimed_total.labels('expired').inc(count)
@@ -187,13 +189,13 @@
         deadline = clock.Deadline(message.remaining_ms / 1000)
         holder = instance, message.request_id
         try:
-            self._owned.wait_for_slot(
+            ticket = self._owned.wait_for_slot(
                 holder, replica, message.club, deadline, on_queued
             )
         except exceptions.NotRunError as error:
             _refusals_total.labels(error.cause, message.club).inc()
             raise
-        _observe_wait(outcomes.WorkClass.LIVE, started_s)
+        _observe_wait(ticket, started_s)
         return messages.SlotGranted(self._kernel.incarnation, replica.load())
 
     def _answer_acquire(
@@ -246,6 +248,7 @@
     )
 
 
-def _observe_wait(work_class: outcomes.WorkClass, started_s: float) -> None:
+def _observe_wait(ticket: slots.Ticket, started_s: float) -> None:
     waited_s = clock.monotonic_s() - started_s
-    _waits_seconds.labels(work_class.value).observe(waited_s)
+    cause = ticket.wait_cause.value if ticket.wait_cause else NO_WAIT
+    _waits_seconds.labels(ticket.work_class.value, cause).observe(waited_s)
--- a/src/lentildeal/_internal/routing/slots.py
+++ b/src/lentildeal/_internal/routing/slots.py
@@ -54,6 +54,7 @@
         self.club = club
         self.deadline = deadline
         self.state = TicketState.WAITING
+        self.wait_cause: typing.Optional[outcomes.Cause] = None
         self.charged = 0.0
         self.granted_s = 0.0
         self.margin_s = TIME_MARGIN * deadline.remaining_s if deadline else 0.0
@@ -155,6 +156,7 @@
         ticket = Ticket(outcomes.WorkClass.LIVE, club, deadline)
         self._live.setdefault(club, collections.deque()).append(ticket)
         self._dispatch()
+        self._note_wait_cause(ticket)
         return ticket
 
     def enqueue_rollout(self) -> Ticket:
@@ -162,6 +164,7 @@
         ticket = Ticket(outcomes.WorkClass.ROLLOUT, ids.ClubName(''), None)
         self._rollouts.append(ticket)
         self._dispatch()
+        self._note_wait_cause(ticket)
         return ticket
 
     def release(
@@ -194,6 +197,10 @@
         self.limiter.set_configured(configured)
         self._dispatch()
 
+    def refresh(self) -> None:
+        """Uses headroom that is no longer needed as time has passed."""
+        self._dispatch()
+
     def set_paused(self, is_paused: bool) -> None:
         """Holds rollouts back, or lets them start again."""
         self._paused = is_paused
@@ -258,6 +265,17 @@
             )
         )
 
+    def _note_wait_cause(self, ticket: Ticket) -> None:
+        """Notes at the start of a wait what it is caused by."""
+        if ticket.state is not TicketState.WAITING:
+            return
+        ticket.wait_cause = outcomes.Cause.TARGET_FULL
+        if ticket.work_class is outcomes.WorkClass.ROLLOUT:
+            if self._paused:
+                ticket.wait_cause = outcomes.Cause.TARGET_SWAPPING
+        elif max(self._live, key=self._weighted_length) != ticket.club:
+            ticket.wait_cause = outcomes.Cause.CLUB_SHARE
+
     def _weighted_length(self, club: ids.ClubName) -> float:
         return len(self._live.get(club, ())) / self._weight_of(club)
 
--- a/tests/unit/routing/test_slots.py
+++ b/tests/unit/routing/test_slots.py
@@ -150,7 +150,7 @@
     assert 1 <= queue.in_flight_of(ROLLOUT) <= 5
     assert is_granted(ask(queue))
     now.now_s += 1000.0
-    queue.set_paused(False)
+    queue.refresh()
     assert queue.in_flight == 8
 
 
@@ -197,6 +197,18 @@
     assert is_granted(other)
 
 
+def test_cause_of_a_wait_names_who_is_ahead():
+    """A club that is blamed for the wait that another one causes."""
+    queue = make_queue(1)
+    queue.set_paused(True)
+    swapping = queue.enqueue_rollout()
+    assert swapping.wait_cause is outcomes.Cause.TARGET_SWAPPING
+    assert ask(queue, 'a').wait_cause is None
+    waits = [ask(queue, 'a').wait_cause for _ in range(3)]
+    assert set(waits) == {outcomes.Cause.TARGET_FULL}
+    assert ask(queue, 'b').wait_cause is outcomes.Cause.CLUB_SHARE
+
+
 def test_adaptive_limit_falls_when_slow_and_recovers():
     """A limit that exceeds the configured one or never comes back."""
     limit = limits.AdaptiveLimit(8)
