--- a/src/lentildeal/_internal/callers/claim_log.py
+++ b/src/lentildeal/_internal/callers/claim_log.py
@@ -21,6 +21,8 @@
 STREAM = 'claims'
 # Claims in one record. At about 100 bytes each a record stays below 64 KiB.
 MAX_GROUP = 500
+# Appends of one group whose answers may be lost. Later groups wait meanwhile.
+MAX_APPENDS = 5
 # Claims remembered, about 300 bytes each. Claims that retention has dropped
 # are remembered as long as they fit.
 MAX_CLAIMS = 200_000
@@ -52,6 +54,7 @@
 
     key: Key
     nonce: str
+    deadline: clock.Deadline
     event: eventlet.event.Event
 
 
@@ -142,20 +145,20 @@
         winner = self._fold.winner_of(key)
         if winner is not None:
             return winner
-        pending = self._pending.get(key) or self._enqueue(key)
+        pending = self._pending.get(key) or self._enqueue(key, deadline)
         unknown = exceptions.MayHaveRunError(
             f'the log did not confirm the claim of key {key[1]!r} in time'
         )
         with eventlet.Timeout(deadline.remaining_s, unknown):
             return pending.event.wait()
 
-    def _enqueue(self, key: Key) -> _Pending:
+    def _enqueue(self, key: Key, deadline: clock.Deadline) -> _Pending:
         # The nonce stays the same in repeated appends: whichever copy comes
         # first in the log is this instance's claim.
         nonce = self._unused_nonces.setdefault(key, secrets.token_hex(8))
         if len(self._unused_nonces) > MAX_UNUSED_NONCES:
             self._unused_nonces.popitem(last=False)
-        pending = _Pending(key, nonce, eventlet.event.Event())
+        pending = _Pending(key, nonce, deadline, eventlet.event.Event())
         self._pending[key] = pending
         self._queue.append(pending)
         if not self._work.ready():
@@ -206,7 +209,9 @@
             ],
         }
         delays = backoff.Backoff()
-        for _ in range(3):
+        for _ in range(MAX_APPENDS):
+            if all(pending.deadline.has_passed for pending in group):
+                break
             try:
                 offset = self._log.append(STREAM, body)
                 _appends_total.labels('confirmed').inc()
--- a/tests/functional/test_calls.py
+++ b/tests/functional/test_calls.py
@@ -193,6 +193,35 @@
     assert all(runs[f'holed-{number}'] == 1 for number in range(20))
 
 
+def test_log_outage_stops_only_unclaimed_keys(plain):
+    """A keyed call that runs unclaimed, or others that stop with the log."""
+    first, second = plain.daemons.values()
+    assert call(first, 'once', 'known', Idempotency_Key='known')[0] == 200
+    plain.log.set_faults(down=True)
+    keyed = call(first, 'once', 'unclaimed', Idempotency_Key='unclaimed')
+    unkeyed = call(second, 'once', 'unkeyed')
+    known = call(first, 'once', 'known', Idempotency_Key='known')
+    elsewhere = call(second, 'once', 'known', Idempotency_Key='known')
+    plain.log.set_faults(down=False)
+    assert keyed[1]['outcome'] == 'may_have_run'
+    assert [unkeyed[0], known[0], elsewhere[0]] == [200, 200, 200]
+    runs = count_runs(plain.replicas)
+    assert (runs['unclaimed'], runs['unkeyed'], runs['known']) == (0, 1, 1)
+
+
+def test_lost_append_answers_run_no_key_twice(plain):
+    """A key that is claimed twice because the log's answer was lost."""
+    plain.log.set_faults(lose_answers=3)
+    for number in range(6):
+        identity = f'lost-{number}'
+        for daemon in plain.daemons.values():
+            answer = call(daemon, 'once', identity, Idempotency_Key=identity)
+            assert answer[0] == 200, answer
+    plain.log.set_faults(lose_answers=0)
+    runs = count_runs(plain.replicas)
+    assert [runs[f'lost-{number}'] for number in range(6)] == [1] * 6
+
+
 def test_path_and_query_arrive_as_they_were_sent(plain):
     """A call whose path or parameters are not those of the caller."""
     daemon = next(iter(plain.daemons.values()))
