Make pulls and notices cheap for large steps

Each pull ranked all groups of a step, and every owner was told of the last few samples. A pull now ranks one class of groups by affinity, states are counted as they change, idle slots are given tail work found at intervals, and owners are told in proportion to the backlog.

--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
 import eventlet
@@ -18,6 +19,7 @@
 from lentildeal._internal.rollouts import delivery
 from lentildeal._internal.rollouts import entries
 from lentildeal._internal.rollouts import messages
+from lentildeal._internal.rollouts import ordering
 from lentildeal._internal.rollouts import scoring
 from lentildeal._internal.rollouts import steps
 from lentildeal._internal.utils import clock
@@ -61,6 +63,7 @@
         self._owner_causes = causes.OwnerCauses()
         self._changed = wakeup.Wakeup()
         self._told: dict[ids.InstanceId, messages.Backlog] = {}
+        self._owners: list[ids.InstanceId] = []
         self._told_all_s = clock.monotonic_s()
         self._is_open = True
         self._scorer: typing.Optional[scoring.Scorer] = None
@@ -220,7 +223,9 @@
             self._apply_change()
 
     def check_members(self) -> None:
-        """Takes back samples of members that are dead."""
+        """Takes back samples of dead members and tells new owners."""
+        self._draw_owners()
+        self._apply_change()
         for instance in {a.instance for a in self._state.attempts}:
             member = self._membership.get(instance)
             if member is None or member.state is members.MemberState.DEAD:
@@ -238,6 +243,8 @@
             if now_s - self._told_all_s > RETELL_S:
                 self._told_all_s = now_s
                 self._told.clear()
+            self._state.look_for_tail_work()
+            self._draw_owners()
             self._apply_change()
             eventlet.sleep(TICK_S)
 
@@ -257,22 +264,30 @@
         """Sends the backlog to owners that know another one.
 
         An owner needs to know whether there is work, not how much, so a
-        notice is sent when that changes and is repeated at each tick.
+        notice is sent when that changes and is repeated at intervals.
         """
         state = self._state
-        backlog = messages.Backlog(
-            key=self._key,
-            club=self._trainer.club,
-            model=self._trainer.model,
-            count=state.count_wanted(),
-            minimum_version=state.minimum_version,
-        )
-        for instance in self._find_owners():
+        wanted = state.count_wanted()
+        number = ordering.count_owners_to_tell(wanted, len(self._owners))
+        for place, instance in enumerate(self._owners):
+            backlog = messages.Backlog(
+                key=self._key,
+                club=self._trainer.club,
+                model=self._trainer.model,
+                count=wanted if place < number else 0,
+                minimum_version=state.minimum_version,
+            )
             told = self._told.get(instance)
             if told is None or _differ(told, backlog):
                 self._told[instance] = backlog
                 self._notify(instance, backlog)
 
+    def _draw_owners(self) -> None:
+        """Looks up the owners of the pool and draws their order."""
+        owners = sorted(self._find_owners())
+        random.shuffle(owners)
+        self._owners = owners
+
     def _list_pool(
         self,
     ) -> list[tuple[ids.FailureDomain, ids.ReplicaAddress]]:
--- a/src/lentildeal/_internal/rollouts/entries.py
+++ b/src/lentildeal/_internal/rollouts/entries.py
@@ -27,6 +27,11 @@
     DELIVERED = 'delivered'
     ACKNOWLEDGED = 'acknowledged'
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a sample in this state has no result."""
+        return self in (SampleState.WAITING, SampleState.RUNNING)
+
 
 @dataclasses.dataclass(frozen=True)
 class StepPlan:
@@ -80,6 +85,14 @@
     retry_at_s: float = 0.0
     is_stale_rerun: bool = False
 
+    def set_state(self, state: SampleState) -> None:
+        """Changes the state and the counts of the group."""
+        old, self.state, group = self.state, state, self.group
+        group.waiting += (state is SampleState.WAITING) - (
+            old is SampleState.WAITING
+        )
+        group.unfinished += state.is_unfinished - old.is_unfinished
+
     def make_sample(
         self, text: str, segments: tuple[samples.Segment, ...]
     ) -> samples.Sample:
@@ -102,17 +115,25 @@
 
 @dataclasses.dataclass
 class Group:
-    """The samples of one prompt."""
+    """The samples of one prompt.
+
+    Attributes:
+        prompt: The prompt.
+        position: Place in the trainer's request.
+        entries: Samples that the trainer does not hold.
+        held_by: Replicas that have taken a sample of the group.
+        handed_s: When one was last handed out.
+        waiting: Number of waiting samples.
+        unfinished: Number of samples without a result.
+    """
 
     prompt: samples.Prompt
     position: int
     entries: list[Entry] = dataclasses.field(default_factory=list)
     held_by: set[ids.ReplicaAddress] = dataclasses.field(default_factory=set)
     handed_s: float = 0.0
-
-    def count(self, *states: SampleState) -> int:
-        """Number of samples in any of the states."""
-        return sum(entry.state in states for entry in self.entries)
+    waiting: int = 0
+    unfinished: int = 0
 
 
 @dataclasses.dataclass
--- a/src/lentildeal/_internal/rollouts/ordering.py
+++ b/src/lentildeal/_internal/rollouts/ordering.py
@@ -37,6 +37,8 @@
 # A sample starts again of its own accord once only; a sample that takes
 # longer than the interval between versions would never finish otherwise.
 MAX_VOLUNTARY_RESTARTS = 1
+# Owners that are told of any backlog.
+ALWAYS_TOLD_OWNERS = 16
 # Samples without a score that stop generation, as a share of the step.
 UNSCORED_SHARE = 0.5
 
@@ -48,11 +50,15 @@
         self._recent: collections.deque[int] = collections.deque(
             maxlen=HISTORY_LENGTH
         )
+        self._recent_sum = 0
         self._groups: dict[ids.GroupId, list[int]] = {}
 
     def observe(self, group: ids.GroupId, token_count: int) -> None:
         """Records the length of a finished sample, in tokens."""
+        if len(self._recent) == HISTORY_LENGTH:
+            self._recent_sum -= self._recent[0]
         self._recent.append(token_count)
+        self._recent_sum += token_count
         self._groups.setdefault(group, []).append(token_count)
 
     def forget_groups(self) -> None:
@@ -72,7 +78,7 @@
         """
         prior = DEFAULT_LENGTH
         if self._recent:
-            prior = statistics.fmean(self._recent)
+            prior = self._recent_sum / len(self._recent)
         seen = self._groups.get(group, ())
         mean = (sum(seen) + PRIOR_WEIGHT * prior) / (len(seen) + PRIOR_WEIGHT)
         if reached <= mean / TAIL_FACTOR:
@@ -99,6 +105,18 @@
     position: int
 
 
+def is_open_to(
+    address: ids.ReplicaAddress,
+    held_by: typing.Collection[ids.ReplicaAddress],
+    idle_s: float,
+) -> bool:
+    """Whether a started group counts as held by a replica.
+
+    A group that has waited too long for its own replica is held by all.
+    """
+    return address in held_by or idle_s > AFFINITY_HOLD_S
+
+
 def rank_group(view: GroupView, address: ids.ReplicaAddress) -> tuple:
     """Sort key of a group for a pulling replica; the lowest goes first.
 
@@ -107,12 +125,10 @@
     replica counts as held by all. Within a class, groups nearest to
     completion go first, then those with the longest sample.
     """
-    if address in view.held_by or (
-        view.held_by and view.idle_s > AFFINITY_HOLD_S
-    ):
-        affinity = 0
-    elif not view.held_by:
+    if not view.held_by:
         affinity = 1
+    elif is_open_to(address, view.held_by, view.idle_s):
+        affinity = 0
     else:
         affinity = 2
     return (affinity, view.unfinished, -view.predicted, view.position)
@@ -248,6 +264,16 @@
     return running >= math.ceil(unfinished / max(1, pool_size))
 
 
+def count_owners_to_tell(wanted: int, owners: int) -> int:
+    """Number of owners that are told of a backlog at a time.
+
+    Two for each sample, as the first may have no free slot. All of a large
+    pool would otherwise pull for the last few samples of a step. Others are
+    drawn at the next tick.
+    """
+    return min(owners, max(ALWAYS_TOLD_OWNERS, 2 * wanted))
+
+
 def unscored_limit(samples: int, group_size: int) -> int:
     """Samples waiting for a score at which no further one is started."""
     return max(2 * group_size, int(UNSCORED_SHARE * samples))
--- a/src/lentildeal/_internal/rollouts/selection.py
+++ b/src/lentildeal/_internal/rollouts/selection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import typing
 
 from lentildeal._internal.models import ids
@@ -10,8 +11,6 @@
 from lentildeal._internal.rollouts import hedging
 from lentildeal._internal.rollouts import ordering
 
-_UNFINISHED = (entries.SampleState.WAITING, entries.SampleState.RUNNING)
-
 
 class Selector:
     """Chooses what a replica with a free slot generates next."""
@@ -23,27 +22,68 @@
         plan: entries.StepPlan,
         predictor: ordering.LengthPredictor,
     ) -> None:
-        self._groups = groups
+        self._fresh = {group.position: group for group in groups}
+        self._started: list[entries.Group] = []
         self._attempts = running
         self._plan = plan
         self._predictor = predictor
         self._pull_times = _PullTimes()
         self.hedges = hedging.HedgeBudget(predictor, plan.group_size)
 
-    def note_start(self, address: ids.ReplicaAddress, now_s: float) -> None:
-        """Records that a replica took a sample."""
+    def note_start(
+        self,
+        group: entries.Group,
+        address: ids.ReplicaAddress,
+        now_s: float,
+    ) -> None:
+        """Records that a replica took a sample of a group."""
         self._pull_times.note(address, now_s)
+        group.held_by.add(address)
+        group.handed_s = now_s
+        if self._fresh.pop(group.position, None) is not None:
+            self._started.append(group)
 
     def choose_waiting(
-        self, address: ids.ReplicaAddress, now_s: float, pool_size: int
+        self,
+        address: ids.ReplicaAddress,
+        now_s: float,
+        pool_size: int,
+        unfinished: int,
     ) -> typing.Optional[entries.Entry]:
         """Chooses a waiting sample, None if others may better take it."""
         silence_s = self._pull_times.silence_s(address, now_s)
-        unfinished = sum(group.count(*_UNFINISHED) for group in self._groups)
         running = self._attempts.count_at(address)
         if ordering.is_beyond_share(running, unfinished, pool_size, silence_s):
             return None
-        return _choose_waiting(self._groups, address, now_s, self._predictor)
+        for candidates in self._iter_classes(address, now_s):
+            entry = _choose_waiting(
+                candidates, address, now_s, self._predictor
+            )
+            if entry is not None:
+                return entry
+        return None
+
+    def _iter_classes(
+        self, address: ids.ReplicaAddress, now_s: float
+    ) -> typing.Iterator[list[entries.Group]]:
+        """Yields groups by their affinity to a replica, best first.
+
+        Only one class is ranked as a rule; ranking the 512 groups of a large
+        step takes 4 ms, and a whole pool pulls when a step begins.
+        """
+        waiting = [group for group in self._started if group.waiting]
+        yield [
+            group
+            for group in waiting
+            if ordering.is_open_to(
+                address, group.held_by, now_s - group.handed_s
+            )
+        ]
+        # New groups differ in their place only. Samples of some may have
+        # been received or adopted.
+        fresh = (group for group in self._fresh.values() if group.waiting)
+        yield list(itertools.islice(fresh, 1))
+        yield waiting
 
     def find_refresh(
         self, current: ids.Version
@@ -63,11 +103,13 @@
     """Chooses the waiting sample that a replica generates next."""
     best = None
     for group in groups:
-        entry = _find_longest(group, now_s, predictor)
+        if not group.waiting:
+            continue
+        entry = _find_longest(group, now_s)
         if entry is None:
             continue
         view = ordering.GroupView(
-            unfinished=group.count(*_UNFINISHED),
+            unfinished=group.unfinished,
             predicted=predictor.predict(group.prompt.group, entry.reached),
             held_by=group.held_by,
             idle_s=now_s - group.handed_s,
@@ -131,9 +173,7 @@
 
 
 def _find_longest(
-    group: entries.Group,
-    now_s: float,
-    predictor: ordering.LengthPredictor,
+    group: entries.Group, now_s: float
 ) -> typing.Optional[entries.Entry]:
     waiting = [
         entry
@@ -141,8 +181,5 @@
         if entry.state is entries.SampleState.WAITING
         and entry.retry_at_s <= now_s
     ]
-    return max(
-        waiting,
-        key=lambda e: predictor.predict(group.prompt.group, e.reached),
-        default=None,
-    )
+    # Within a group the prediction grows with what an attempt has reached.
+    return max(waiting, key=lambda entry: entry.reached, default=None)
--- a/src/lentildeal/_internal/rollouts/steps.py
+++ b/src/lentildeal/_internal/rollouts/steps.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import typing
 
@@ -17,6 +16,7 @@
 from lentildeal._internal.rollouts import attempts
 from lentildeal._internal.rollouts import entries
 from lentildeal._internal.rollouts import ordering
+from lentildeal._internal.rollouts import outbox
 from lentildeal._internal.rollouts import selection
 
 
@@ -36,18 +36,15 @@
         self._entries: dict[ids.SampleId, entries.Entry] = {}
         self._groups: list[entries.Group] = []
         self._attempts = attempts.AttemptTable()
-        self._ready: dict[ids.SampleId, None] = {}
-        self._unacknowledged: collections.deque[entries.Entry] = (
-            collections.deque()
-        )
+        self._outbox = outbox.Outbox()
         self._counts = dict.fromkeys(entries.SampleState, 0)
-        self._cursor = 0
+        self._has_tail_work = False
         self._generated_tokens = 0
+        self._stale_runs = 0
+        self._add_entries()
         self._selector = selection.Selector(
             self._groups, self._attempts, plan, predictor
         )
-        self._stale_runs = 0
-        self._add_entries()
 
     @property
     def plan(self) -> entries.StepPlan:
@@ -77,12 +74,12 @@
     @property
     def delivered(self) -> int:
         """Samples written to the stream."""
-        return self._cursor
+        return self._outbox.cursor
 
     @property
     def is_complete(self) -> bool:
         """Whether every sample is written."""
-        return self._cursor == len(self._entries)
+        return self._outbox.cursor == len(self._entries)
 
     @property
     def stale_runs(self) -> int:
@@ -108,12 +105,19 @@
         waiting = self._counts[entries.SampleState.WAITING]
         if waiting:
             return waiting
-        is_useful = self._selector.find_refresh(
-            self._version
-        ) or self._selector.hedges.find(
-            self._attempts, None, self._generated_tokens
+        return int(self._has_tail_work)
+
+    def look_for_tail_work(self) -> None:
+        """Finds out whether idle slots could refresh or hedge an attempt.
+
+        This reads all attempts, so it is done at intervals and not at each
+        change.
+        """
+        hedges = self._selector.hedges
+        self._has_tail_work = bool(
+            self._selector.find_refresh(self._version)
+            or hedges.find(self._attempts, None, self._generated_tokens)
         )
-        return int(bool(is_useful))
 
     def pull(
         self,
@@ -136,10 +140,12 @@
             return entries.PullAnswer(cause=outcomes.Cause.TARGET_SWAPPING)
         if self.is_generation_held:
             return entries.PullAnswer(cause=outcomes.Cause.SCORING)
-        replaced = None
+        replaced = entry = None
         if self._counts[entries.SampleState.WAITING]:
-            entry = self._selector.choose_waiting(address, now_s, pool_size)
-        else:
+            entry = self._selector.choose_waiting(
+                address, now_s, pool_size, self._count_unfinished()
+            )
+        elif self._has_tail_work:
             replaced = self._start_refresh(version)
             entry = replaced.entry if replaced else self._start_hedge(address)
         if entry is None:
@@ -266,29 +272,21 @@
         if self._is_version_pending:
             self._is_version_pending = False
             return entries.Delivery(version=self._version)
-        while self._ready:
-            entry = self._entries[next(iter(self._ready))]
+        while (entry := self._outbox.first) is not None:
             if self._restart_if_stale(entry):
                 continue
-            del self._ready[entry.sample_id]
-            self._cursor += 1
-            entry.cursor = self._cursor
+            cursor = self._outbox.write(entry)
             self._set_state(entry, entries.SampleState.DELIVERED)
-            self._unacknowledged.append(entry)
-            return entries.Delivery(sample=entry.sample, cursor=self._cursor)
+            return entries.Delivery(sample=entry.sample, cursor=cursor)
         return None
 
     def acknowledge(self, cursor: int) -> int:
         """Releases delivered samples and returns how many."""
-        released = 0
-        while self._unacknowledged:
-            if self._unacknowledged[0].cursor > cursor:
-                break
-            entry = self._unacknowledged.popleft()
+        released = self._outbox.acknowledge(cursor)
+        for entry in released:
             entry.sample = None
             self._set_state(entry, entries.SampleState.ACKNOWLEDGED)
-            released += 1
-        return released
+        return len(released)
 
     def prompt_of(self, sample: samples.Sample) -> str:
         """Prompt text of a sample of this step."""
@@ -307,6 +305,7 @@
                 entry = entries.Entry(sample_id, group, index)
                 group.entries.append(entry)
                 self._entries[sample_id] = entry
+            group.waiting = group.unfinished = len(group.entries)
             self._groups.append(group)
         self._counts[entries.SampleState.WAITING] = len(self._entries)
 
@@ -315,7 +314,7 @@
     ) -> None:
         self._counts[entry.state] -= 1
         self._counts[state] += 1
-        entry.state = state
+        entry.set_state(state)
 
     def _settle(self, entry: entries.Entry) -> None:
         """Sets the state of a sample without a result."""
@@ -332,7 +331,7 @@
 
     def _set_ready(self, entry: entries.Entry) -> None:
         self._set_state(entry, entries.SampleState.READY)
-        self._ready[entry.sample_id] = None
+        self._outbox.add(entry)
 
     def _is_over_bound(self, oldest: ids.Version) -> bool:
         return self._version - oldest > self._plan.staleness_bound
@@ -340,12 +339,18 @@
     def _restart_if_stale(self, entry: entries.Entry) -> bool:
         if not self._is_over_bound(entry.sample.oldest_version):
             return False
-        self._ready.pop(entry.sample_id, None)
+        self._outbox.discard(entry)
         entry.sample = None
         self._count_stale(entry)
         self._settle(entry)
         return True
 
+    def _count_unfinished(self) -> int:
+        return (
+            self._counts[entries.SampleState.WAITING]
+            + self._counts[entries.SampleState.RUNNING]
+        )
+
     def _start_refresh(self, version: ids.Version) -> entries.Attempt | None:
         """Gives up an attempt that a replica may better start again."""
         if version < self._version:
@@ -381,9 +386,7 @@
         self, entry: entries.Entry, instance, address, now_s: float
     ) -> samples.WorkItem:
         attempt = self._attempts.start(entry, instance, address, now_s)
-        self._selector.note_start(address, now_s)
-        entry.group.held_by.add(address)
-        entry.group.handed_s = now_s
+        self._selector.note_start(entry.group, address, now_s)
         self._settle(entry)
         return self._make_item(entry, attempt)
 
--- a/tests/unit/rollouts/test_steps.py
+++ b/tests/unit/rollouts/test_steps.py
@@ -164,6 +164,7 @@
     attempt = pull(state)
     state.attempts.report('a1', [(attempt, tokens, 5)], 1.0)
     assert state.set_version(6) == []
+    state.look_for_tail_work()
     answer = state.pull('a2', 'r2', version, 1.0)
     assert (answer.item is not None) == is_refreshed
     assert (answer.replaced is not None) == is_refreshed
@@ -188,6 +189,15 @@
     assert not any(new.adopt(sample) for sample in old.iter_kept())
 
 
+def test_groups_adopted_whole_do_not_hide_later_ones():
+    """A step must go on behind groups that need no generation."""
+    old, new = make_state(), make_state()
+    for _ in range(2):
+        finish(old, pull(old))
+    assert all(new.adopt(sample) for sample in old.iter_kept())
+    assert new.pull('a1', 'r1', 5, 0.0).item.sample_id == 't/1/g1/0'
+
+
 class StepMachine(stateful.RuleBasedStateMachine):
     """Any interleaving of results, losses, duplicates and versions."""
 
@@ -259,6 +269,10 @@
         self.announced += step
         self.state.set_version(self.announced)
 
+    @stateful.rule()
+    def look(self):
+        self.state.look_for_tail_work()
+
     @stateful.rule()
     def write(self):
         delivery = self.state.take_delivery()
