Drop backlogs of closed steps at their owners

An owner that had lost and regained a replica could ask for a closed step for ever. A coordinator now answers that the step is closed and withdraws its notice from all owners that it told.

--- a/src/lentildeal/_internal/rollouts/backlogs.py
+++ b/src/lentildeal/_internal/rollouts/backlogs.py
@@ -70,6 +70,10 @@
             if known.coordinator == coordinator:
                 del self._known[known.notice.key]
 
+    def drop(self, key: messages.StepKey) -> None:
+        """Drops the backlog of a step that is no longer served."""
+        self._known.pop(key, None)
+
     def hold(
         self,
         key: messages.StepKey,
--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -150,7 +150,7 @@
     ) -> messages.Items:
         """Hands a sample to an owner."""
         if not self._is_open:
-            return messages.Items()
+            return messages.Items(is_open=False)
         answer = self._state.pull(
             instance,
             message.address,
@@ -344,7 +344,7 @@
         withdrawn = messages.Backlog(
             self._key, self._trainer.club, self._trainer.model, 0, 0
         )
-        for instance in self._find_owners():
+        for instance in self._told.keys() | self._find_owners():
             self._notify(instance, withdrawn)
 
     def _notify(self, instance: ids.InstanceId, message) -> None:
--- a/src/lentildeal/_internal/rollouts/entries.py
+++ b/src/lentildeal/_internal/rollouts/entries.py
@@ -32,6 +32,11 @@
         """Whether a sample in this state has no result."""
         return self in (SampleState.WAITING, SampleState.RUNNING)
 
+    @property
+    def is_undelivered(self) -> bool:
+        """Whether a sample in this state has a result still to be written."""
+        return self in (SampleState.GENERATED, SampleState.READY)
+
 
 @dataclasses.dataclass(frozen=True)
 class StepPlan:
--- a/src/lentildeal/_internal/rollouts/messages.py
+++ b/src/lentildeal/_internal/rollouts/messages.py
@@ -69,11 +69,13 @@
         items: Samples to generate, none if nothing may start now.
         cause: Value of ``outcomes.Cause`` when there are no items.
         report_s: Interval at which progress is reported, in seconds.
+        is_open: False if the step is no longer served here.
     """
 
     items: typing.Tuple[samples.WorkItem, ...] = ()
     cause: str = outcomes.Cause.NO_WORK.value
     report_s: float = 1.0
+    is_open: bool = True
 
 
 @wire.message('work.done')
--- a/src/lentildeal/_internal/rollouts/steps.py
+++ b/src/lentildeal/_internal/rollouts/steps.py
@@ -10,6 +10,8 @@
 import dataclasses
 import typing
 
+import prometheus_client
+
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import samples
@@ -19,6 +21,12 @@
 from lentildeal._internal.rollouts import outbox
 from lentildeal._internal.rollouts import selection
 
+_stale_total = prometheus_client.Counter(
+    'lentildeal_rollout_stale_total',
+    'Attempts and results given up for their staleness.',
+    ['trainer'],
+)
+
 
 class StepState:
     """All samples of one step under one attachment."""
@@ -40,7 +48,6 @@
         self._counts = dict.fromkeys(entries.SampleState, 0)
         self._has_tail_work = False
         self._generated_tokens = 0
-        self._stale_runs = 0
         self._add_entries()
         self._selector = selection.Selector(
             self._groups, self._attempts, plan, predictor
@@ -81,11 +88,6 @@
         """Whether every sample is written."""
         return self._outbox.cursor == len(self._entries)
 
-    @property
-    def stale_runs(self) -> int:
-        """Samples started again because of their staleness."""
-        return self._stale_runs
-
     @property
     def is_generation_held(self) -> bool:
         """Whether too many samples wait for their score."""
@@ -253,10 +255,7 @@
         self._version = version
         self._is_version_pending = True
         for entry in self._entries.values():
-            if entry.state in (
-                entries.SampleState.GENERATED,
-                entries.SampleState.READY,
-            ):
+            if entry.state.is_undelivered:
                 self._restart_if_stale(entry)
         stale = [a for a in self._attempts if self._is_certain_to_be_stale(a)]
         for attempt in stale:
@@ -346,10 +345,8 @@
         return True
 
     def _count_unfinished(self) -> int:
-        return (
-            self._counts[entries.SampleState.WAITING]
-            + self._counts[entries.SampleState.RUNNING]
-        )
+        states = (entries.SampleState.WAITING, entries.SampleState.RUNNING)
+        return sum(self._counts[state] for state in states)
 
     def _start_refresh(self, version: ids.Version) -> entries.Attempt | None:
         """Gives up an attempt that a replica may better start again."""
@@ -375,7 +372,7 @@
         return oldest is not None and self._is_over_bound(oldest)
 
     def _count_stale(self, entry: entries.Entry) -> None:
-        self._stale_runs += 1
+        _stale_total.labels(self._plan.trainer).inc()
         entry.is_stale_rerun = True
 
     def _lose(self, attempt: entries.Attempt) -> None:
--- a/src/lentildeal/_internal/rollouts/trainers_api.py
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -283,7 +283,7 @@
     def _on_pull(self, instance, message: messages.Pull) -> messages.Items:
         coordinator = self._find_step(message.key)
         if coordinator is None:
-            return messages.Items()
+            return messages.Items(is_open=False)
         return coordinator.pull(instance, message)
 
     def _on_done(self, instance, message: messages.Done) -> None:
--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -167,6 +167,9 @@
             logger.debug('no pull from {}: {}', known.coordinator, error)
             self._hold(key, puller, UNREACHABLE_HOLD_S)
             return None
+        if not items.is_open:
+            self._book.drop(key)
+            return None
         if not items.items:
             self._hold(key, puller, EMPTY_HOLD_S)
             return None
