--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -62,6 +62,42 @@
         assert journal['breaks']
 
 
+def test_planned_stop_cuts_no_stream():
+    """A daemon that leaves must finish its step and its samples."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, *SLOW)
+        daemons = fed.add_daemons({'a': 2, 'b': 2}, timing={'leave_ms': 500})
+        trainer = fed.start_trainer('t', 'm', '--groups', 8, '--steps', 2)
+        coordinator = processes.wait_for(
+            lambda: rollouts.find_coordinator(daemons), 'a step is open'
+        )
+        coordinator.terminate()
+        assert coordinator.wait() == 0
+        journal = rollouts.wait_until_done(trainer)
+        rollouts.assert_promises(journal)
+        assert journal['breaks'] == []
+
+
+def test_gone_trainer_frees_the_engines():
+    """Nobody must generate for a trainer that has died."""
+    with federation.Federation() as fed:
+        rollouts.start_pool(fed, '--median-tokens', 4000)
+        daemons = fed.add_daemons({'a': 2, 'b': 1})
+        trainer = fed.start_trainer('t', 'm', '--max-tokens', 4000)
+        processes.wait_for(
+            lambda: rollouts.find_coordinator(daemons), 'a step is open'
+        )
+        trainer.kill()
+
+        def is_idle(daemon):
+            _, status = daemon.call('GET', '/v1/status')
+            return not status['steps'] and not status['attempts_running']
+
+        processes.wait_for(
+            lambda: all(map(is_idle, daemons)), 'no daemon works for it'
+        )
+
+
 def test_workers_killed_in_step():
     """Samples that run at a killed owner must be generated elsewhere."""
     with federation.Federation() as fed:
