--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -34,6 +34,8 @@
 REPORT_TIMEOUT_S = 5.0
 REPORT_TRIES = 5
 PROGRESS_TICK_S = 0.25
+# Weight of a new observation in the mean length, which is charged at a start.
+LENGTH_GAIN = 0.05
 CAUSE_INTERVAL_S = 2.0
 
 _tokens_total = prometheus_client.Counter(
@@ -56,7 +58,7 @@
         self._slots = kernel.plugin('slots')
         self._orders = kernel.plugin('orders')
         self._book = backlogs.BacklogBook(lambda: self._config.text)
-        self._lengths = ordering.LengthPredictor()
+        self._mean_length = ordering.DEFAULT_LENGTH
         self._pullers: dict[ids.ReplicaAddress, tasks.Puller] = {}
         self._tasks: dict[tuple[messages.StepKey, int], tasks.Task] = {}
         self._reported_s: dict[messages.StepKey, float] = {}
@@ -203,7 +205,7 @@
     def _generate(self, task: tasks.Task, grant: typing.Any) -> typing.Any:
         """Generates and returns the message for the coordinator."""
         notice = task.notice
-        estimate = self._lengths.predict(ids.GroupId(''))
+        estimate = self._mean_length
         self._book.charge(notice, estimate)
         started_s = clock.monotonic_s()
         # Only a failure of the replica counts against it.
@@ -211,7 +213,8 @@
         try:
             self._stream(task)
             task.puller.delays.reset()
-            self._lengths.observe(ids.GroupId(''), task.collector.token_count)
+            tokens = task.collector.token_count
+            self._mean_length += LENGTH_GAIN * (tokens - self._mean_length)
             return messages.Done(
                 task.key,
                 task.item.attempt,
