Run the demonstration on the published examples

The steps of the examples take the six stand-in engines up to a minute, so that trainers were cut off with unfinished steps. The demonstration asks for at most 96 samples a step.

--- a/demo/worlds.py
+++ b/demo/worlds.py
@@ -13,6 +13,10 @@
 from tests.lib import processes
 
 DAEMONS_PER_DOMAIN = 2
+STEPS = 6
+# Six stand-in engines generate a full step of the examples in a minute; the
+# demonstration asks for less, so that it shows several steps.
+MAX_SAMPLES = 96
 # Long answers beside many short ones: one in a hundred has about five times
 # the median length.
 ENGINE_ARGUMENTS = (
@@ -147,7 +151,8 @@
 
     def _start_trainer(self, name: str, trainer: dict) -> None:
         group_size = trainer.get('group_size', 8)
-        groups = max(1, trainer.get('samples_per_step', 64) // group_size)
+        samples = min(trainer.get('samples_per_step', 64), MAX_SAMPLES)
+        groups = max(1, samples // group_size)
         # One trainer gets new weights in the middle of each step, the others
         # after each training step, which is within the next step too.
         publish = 'trained' if self.trainers else 'middle'
@@ -156,7 +161,7 @@
             trainer['model'],
             *('--groups', groups, '--group-size', group_size),
             *('--bound', trainer.get('staleness_bound', 1)),
-            *('--steps', 6, '--train-ms', 2500, '--publish', publish),
+            *('--steps', STEPS, '--train-ms', 2500, '--publish', publish),
             '--wait-for-start',
         )
 
