--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := src tests standins demo bench model
 
-.PHONY: all demo test check format model bench wheel clean
+.PHONY: all demo reference test check format model bench wheel clean
 
 all: check test model
 
@@ -28,6 +28,9 @@
 model: $(STAMP)
 	$(BIN)/python -m model
 
+reference: $(STAMP)
+	$(BIN)/python -W ignore -m lentildeal._internal.config.reference > docs/reference.md
+
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
