Look routes up by the router's new method in the fake kernel

The router's find returns the handler again and find_route the route; the fake kernel still took a route from find, so that the eight tests of tests/unit/test_config_publish.py failed with AttributeError. They pass with find_route.

--- a/tests/lib/fake_kernel.py
+++ b/tests/lib/fake_kernel.py
@@ -74,7 +74,7 @@
 
     def request(self, method, path, value=None, query=None):
         """Calls a route and returns status and JSON value."""
-        route, parameters = self.router.find(method, path)
+        route, parameters = self.router.find_route(method, path)
         body = b'' if value is None else json.dumps(value).encode()
         request = http_server.Request(
             method, path, query or {}, parameters, {}, body
