--- a/tests/lib/fake_kernel.py
+++ b/tests/lib/fake_kernel.py
@@ -74,10 +74,10 @@
 
     def request(self, method, path, value=None, query=None):
         """Calls a route and returns status and JSON value."""
-        route, parameters = self.router.find(method, path)
+        handler, parameters = self.router.find(method, path)
         body = b'' if value is None else json.dumps(value).encode()
         request = http_server.Request(
             method, path, query or {}, parameters, {}, body
         )
-        response = route.handler(request)
+        response = handler(request)
         return response.status, json.loads(response.body)
