Eject no replica for time-outs that overload causes

At twice the capacity slots are granted late, and a silent-replica watch after half of the time left was shorter than a call. Ejections are counted by reason.

--- a/src/lentildeal/_internal/callers/attempts.py
+++ b/src/lentildeal/_internal/callers/attempts.py
@@ -16,6 +16,10 @@
 
 # HTTP statuses by which a target says that it, not the request, is at fault.
 FIRST_FAULT_STATUS = 500
+# Errors this close to the deadline come from the deadline.
+NEAR_DEADLINE_S = 0.02
+# Shorter waits for an answer never speak against a replica.
+SHORTEST_SILENCE_S = 0.5
 
 
 class Attempt:
@@ -50,17 +54,26 @@
         units = max(1, self.usage.tokens) if self._is_engine() else 1
         if self._close(None, seconds):
             self._health.record_success(
-                self.replica.address, seconds / units, self._addresses
+                self.replica.address,
+                seconds / units,
+                self._addresses,
+                seconds,
             )
 
+    def is_overdue(self) -> bool:
+        """Whether the replica takes far longer than calls usually do."""
+        seconds = clock.monotonic_s() - self._started_s
+        return self._health.is_overdue(
+            self.replica.address, seconds, self._addresses
+        )
+
     def end_given_up(self) -> None:
         """Reports that the caller has gone, which says nothing else."""
         self._close(None, 0.0)
 
     def end_failed(self, error: BaseException) -> None:
         """Reports the error that ended the attempt."""
-        seconds = clock.monotonic_s() - self._started_s
-        is_fault = self._is_fault(error, seconds)
+        is_fault = self._is_fault(error)
         outcome = outcomes.Outcome.MAY_HAVE_RUN if is_fault else None
         if self._close(outcome, 0.0) and is_fault:
             self._health.record_failure(self.replica.address, self._addresses)
@@ -68,22 +81,21 @@
     def _is_engine(self) -> bool:
         return self._call.target.kind is text_module.TargetKind.ENGINE
 
-    def _is_fault(self, error: BaseException, seconds: float) -> bool:
+    def _is_fault(self, error: BaseException) -> bool:
         """Whether an error speaks against the replica."""
         if isinstance(error, exceptions.RanAndFailedError):
             return error.status >= FIRST_FAULT_STATUS
         if isinstance(error, exceptions.TruncatedAnswerError):
             return True
-        if isinstance(error, exceptions.MayHaveRunError):
-            if not self._call.deadline.has_passed:
-                return True
-            units = max(1, self.usage.tokens) if self._is_engine() else 1
-            return self._health.is_overdue(
-                self.replica.address, seconds / units, self._addresses
-            )
         if isinstance(error, exceptions.NotRunError):
-            return error.cause == outcomes.Cause.TARGET_DOWN.value
-        return False
+            if error.cause != outcomes.Cause.TARGET_DOWN.value:
+                return False
+        if self._call.deadline.remaining_s > NEAR_DEADLINE_S:
+            return True
+        # A caller's short deadline is no fault of the replica, and neither
+        # is a pause of this daemon that ends several calls at once.
+        seconds = clock.monotonic_s() - self._started_s
+        return seconds >= SHORTEST_SILENCE_S and self.is_overdue()
 
     def _close(
         self, outcome: typing.Optional[outcomes.Outcome], seconds: float
--- a/src/lentildeal/_internal/callers/dispatch.py
+++ b/src/lentildeal/_internal/callers/dispatch.py
@@ -160,7 +160,10 @@
         waiter = eventlet.getcurrent()
 
         def give_up() -> None:
-            if attempt.usage.tokens == 0 and budget.try_spend():
+            # Slots are granted late under load: half of the time that is
+            # left then can be less than a call needs.
+            is_silent = attempt.usage.tokens == 0 and attempt.is_overdue()
+            if is_silent and budget.try_spend():
                 waiter.throw(
                     _SilentReplicaError(
                         f'{attempt.replica.address} is silent for half of'
--- a/src/lentildeal/_internal/routing/health.py
+++ b/src/lentildeal/_internal/routing/health.py
@@ -9,6 +9,8 @@
 import statistics
 import typing
 
+import prometheus_client
+
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import clock
 
@@ -39,6 +41,13 @@
 PROBATION_SUCCESSES = 3
 
 
+_ejections_total = prometheus_client.Counter(
+    'lentildeal_ejections_total',
+    'Ejections of replicas by this daemon.',
+    ['address', 'reason'],
+)
+
+
 class HealthState(str, enum.Enum):
     """How a replica is used."""
 
@@ -60,6 +69,7 @@
         self.failure_rate = 0.0
         self.failure_rate_at_s = 0.0
         self.unit_s: typing.Optional[float] = None
+        self.call_s: typing.Optional[float] = None
         self.measurements = 0
         self.ejections = 0
         self.ejected_until_s = 0.0
@@ -113,6 +123,7 @@
         address: ids.ReplicaAddress,
         unit_s: float,
         replicas: typing.Sequence[ids.ReplicaAddress],
+        call_s: typing.Optional[float] = None,
     ) -> None:
         """Takes in a whole answer.
 
@@ -120,8 +131,13 @@
             address: Replica that answered.
             unit_s: Time per unit of cost, in seconds.
             replicas: All replicas of the target.
+            call_s: Time of the whole call, in seconds, if it differs.
         """
         record = self._get(address)
+        call_s = unit_s if call_s is None else call_s
+        if record.call_s is None:
+            record.call_s = call_s
+        record.call_s += LATENCY_WEIGHT * (call_s - record.call_s)
         record.failures_in_row = 0
         self._note_outcome(record, True)
         record.measurements += 1
@@ -129,7 +145,7 @@
             record.unit_s = unit_s
         record.unit_s += LATENCY_WEIGHT * (unit_s - record.unit_s)
         if self._is_slow(address, replicas):
-            self._try_eject(address, replicas)
+            self._try_eject(address, replicas, 'slow')
         elif self.state_of(address) is HealthState.PROBATION:
             self._advance_probation(record)
 
@@ -143,7 +159,7 @@
         record.failures_in_row += 1
         self._note_outcome(record, False)
         if self._is_failing(record, self.state_of(address)):
-            self._try_eject(address, replicas)
+            self._try_eject(address, replicas, 'failing')
 
     def penalty(self, address: ids.ReplicaAddress) -> float:
         """Load to add in the choice, relative to the limit.
@@ -169,8 +185,11 @@
 
         A caller's own short deadline must not eject a replica for all.
         """
-        median_s = self._median_s(replicas)
-        return median_s is None or seconds > SLOW_FACTOR * median_s
+        times = [self._get(a).call_s for a in replicas]
+        known = [time for time in times if time is not None]
+        if not known:
+            return True
+        return seconds > SLOW_FACTOR * statistics.median_low(known)
 
     def _get(self, address: ids.ReplicaAddress) -> _Record:
         return self._records.setdefault(address, _Record())
@@ -220,7 +239,7 @@
         known = [time for time in times if time is not None]
         return statistics.median_low(known) if len(known) >= 2 else None
 
-    def _try_eject(self, address, replicas) -> None:
+    def _try_eject(self, address, replicas, reason: str) -> None:
         states = [self.state_of(a) for a in replicas if a != address]
         ejected = states.count(HealthState.EJECTED)
         if ejected + 1 > LARGEST_EJECTED_SHARE * len(replicas):
@@ -232,6 +251,7 @@
         # Jitter keeps daemons from returning to a replica at the same time.
         seconds *= 0.75 + random.random() / 2
         record.state = HealthState.EJECTED
+        _ejections_total.labels(address, reason).inc()
         record.ejections = min(record.ejections + 1, 10)
         record.ejected_until_s = self._now() + seconds
 
