Let tests of delivery and end markers fail without their mechanism

Cause: with the received set ignored, or the engine's end marker not required, the tests named for them still passed: the coordinator was killed before the trainer held anything, and the stand-in only ended streams by breaking the connection. Change: the coordinator is killed once the trainer holds a part of the step; the stand-in can end a response early as if it were complete, and two tests use it; delivered texts must be of finished generations.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -22,12 +22,14 @@
     """Model engine."""
 
     # refuse: 503 before anything runs; truncate: the stream breaks after
-    # half of the answer; fail_loads: a version load fails partway;
+    # half of the answer; end_early: the response ends there as if it were
+    # complete, without the end marker; fail_loads: a version load fails;
     # slow_factor: duration of all steps, as a multiple; stall: no tokens are
     # generated, as with the common switch ``hang``.
     fault_defaults = {
         'refuse': 0,
         'truncate': 0,
+        'end_early': 0,
         'fail_loads': 0,
         'slow_factor': 1.0,
         'stall': False,
@@ -253,7 +255,9 @@
         sent: int,
         number: int,
     ) -> typing.Iterator[bytes]:
-        breaks_at = run.length // 2 if self.faults.fires('truncate') else None
+        ends_early = self.faults.fires('end_early')
+        breaks = ends_early or self.faults.fires('truncate')
+        breaks_at = run.length // 2 if breaks else None
         is_whole = False
         # The head leaves with the first bytes; a comment sends it at once.
         yield b': accepted\n\n'
@@ -266,7 +270,8 @@
                     sent += len(fresh)
                 if sent == breaks_at:
                     run.end('cancelled')
-                    request.cut()
+                    if not ends_early:
+                        request.cut()
                     return
                 if is_over and sent >= len(run.tokens):
                     is_whole = run.state == 'finished'
--- a/tests/functional/test_calls.py
+++ b/tests/functional/test_calls.py
@@ -308,7 +308,10 @@
     with pytest.raises(http.client.IncompleteRead) as info:
         complete(daemon, 'p', 20, True)
     assert b'[DONE]' not in info.value.partial
-    engines.engine.set_faults(truncate=0)
+    engines.engine.set_faults(truncate=0, end_early=10)
+    status, answer = complete(daemon, 'p', 20)
+    assert (status, answer['outcome']) == (504, 'may_have_run')
+    engines.engine.set_faults(end_early=0)
     status, answer = complete(daemon, 'p', 20)
     assert status == 200 and answer['tokens'] <= 20
 
--- a/tests/functional/test_rollouts.py
+++ b/tests/functional/test_rollouts.py
@@ -53,7 +53,11 @@
         rollouts.start_pool(fed, *SLOW)
         daemons = fed.add_daemons({'a': 3, 'b': 2})
         trainer = fed.start_trainer('t', 'm', '--groups', 8)
-        for _ in range(2):
+        for least in (1, 12):
+            processes.wait_for(
+                lambda: trainer.call('GET', '/state')[1]['held'] >= least,
+                'the trainer holds a part of the step',
+            )
             processes.wait_for(
                 lambda: rollouts.find_coordinator(daemons), 'a step is open'
             ).kill()
@@ -158,9 +162,13 @@
         engines = rollouts.start_pool(fed, *SLOW)
         engines[0].set_faults(truncate=0.5)
         engines[1].set_faults(refuse=0.5)
+        engines[2].set_faults(end_early=0.5)
         fed.add_daemons({'a': 2, 'b': 1})
         trainer = fed.start_trainer('t', 'm')
-        rollouts.assert_promises(rollouts.wait_until_done(trainer))
+        journal = rollouts.wait_until_done(trainer)
+        rollouts.assert_promises(journal)
+        texts = {sample['text'] for sample in journal['samples']}
+        assert texts <= rollouts.read_finished_texts(engines)
 
 
 def test_slow_replica_is_hedged():
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -118,6 +118,18 @@
         assert not journal[fault], fault
 
 
+def read_finished_texts(
+    engines: typing.Iterable[processes.Process],
+) -> set[str]:
+    """Texts that engines generated to their end."""
+    return {
+        run['text']
+        for engine in engines
+        for run in engine.read_journal()['runs']
+        if run['state'] == 'finished'
+    }
+
+
 def read_versions(engines: typing.Iterable[processes.Process]) -> set[int]:
     """Versions that engines serve now."""
     return {engine.call('GET', '/state')[1]['version'] for engine in engines}
