--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -133,7 +133,18 @@
             _Route(method, re.compile(expression), handler, while_leaving)
         )
 
-    def find(self, method: str, path: str) -> tuple[_Route, dict[str, str]]:
+    def find(self, method: str, path: str) -> tuple[Handler, dict[str, str]]:
+        """Finds the handler of a request and its parameters.
+
+        Raises:
+            exceptions.UnknownRouteError: There is none.
+        """
+        route, parameters = self.find_route(method, path)
+        return route.handler, parameters
+
+    def find_route(
+        self, method: str, path: str
+    ) -> tuple[_Route, dict[str, str]]:
         """Finds the route of a request and its parameters.
 
         Raises:
@@ -231,7 +242,9 @@
     def _respond(self, environ) -> Response:
         try:
             request = self._read_request(environ)
-            route, parameters = self._router.find(request.method, request.path)
+            route, parameters = self._router.find_route(
+                request.method, request.path
+            )
             if self._is_refusing and not route.while_leaving:
                 raise exceptions.NotRunError(
                     'this instance is leaving',
