Count ended steps and tell when an acknowledgement may have acted

Cause: nothing recorded steps for the burn report, and a forwarded trainer call whose answer was lost was refused as 'not run' although the coordinator may have acted.

--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -19,6 +19,7 @@
 from lentildeal._internal.rollouts import delivery
 from lentildeal._internal.rollouts import entries
 from lentildeal._internal.rollouts import messages
+from lentildeal._internal.rollouts import objectives
 from lentildeal._internal.rollouts import ordering
 from lentildeal._internal.rollouts import scoring
 from lentildeal._internal.rollouts import steps
@@ -66,6 +67,7 @@
         self._owners: list[ids.InstanceId] = []
         self._told_all_s = clock.monotonic_s()
         self._is_open = True
+        self._recorder = objectives.StepRecorder(kernel, key.trainer, trainer)
         self._scorer: typing.Optional[scoring.Scorer] = None
         self._stream = delivery.EventStream(
             state, self._changed, self._end_stream
@@ -243,6 +245,7 @@
             if now_s - self._told_all_s > RETELL_S:
                 self._told_all_s = now_s
                 self._told.clear()
+            self._recorder.note_cause(self.view.cause)
             self._state.look_for_tail_work()
             self._draw_owners()
             self._apply_change()
@@ -332,6 +335,7 @@
         if self._scorer is not None:
             self._scorer.stop()
         state = self._state
+        self._recorder.record(state.is_complete, self._stream.idle_s)
         logger.info(
             'step {}/{} closed: {} of {} samples delivered, attachment {}',
             self._key.trainer,
--- a/src/lentildeal/_internal/rollouts/delivery.py
+++ b/src/lentildeal/_internal/rollouts/delivery.py
@@ -9,6 +9,7 @@
 from lentildeal._internal.models import samples
 from lentildeal._internal.rollouts import entries
 from lentildeal._internal.rollouts import steps
+from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import wakeup
 
 CONTENT_TYPE = 'application/jsonl'
@@ -42,8 +43,14 @@
         self._changed = changed
         self._on_end: typing.Optional[typing.Callable[[], None]] = on_end
         self._close_reason: typing.Optional[str] = None
+        self._idle_s = 0.0
         self._lines = self._iter_lines()
 
+    @property
+    def idle_s(self) -> float:
+        """Time without an event to write, in seconds."""
+        return self._idle_s
+
     def __iter__(self) -> EventStream:
         return self
 
@@ -70,12 +77,19 @@
                 yield _format_line(_to_event(delivery))
             elif self._state.is_complete:
                 break
-            elif not self._changed.wait(KEEPALIVE_S):
+            elif not self._wait():
                 yield _format_line({'event': 'keepalive'})
         yield _format_line(
             {'event': 'end', 'delivered': self._state.delivered}
         )
 
+    def _wait(self) -> bool:
+        """Waits for a change; returns whether there was one."""
+        started_s = clock.monotonic_s()
+        is_changed = self._changed.wait(KEEPALIVE_S)
+        self._idle_s += clock.monotonic_s() - started_s
+        return is_changed
+
 
 def _format_line(event: dict) -> bytes:
     return json.dumps(event, separators=(',', ':')).encode() + b'\n'
--- a/src/lentildeal/_internal/rollouts/trainers_api.py
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -25,6 +25,7 @@
 
 FORWARD_TIMEOUT_S = 2.0
 ATTACHMENTS_INTERVAL_S = 0.5
+REPEAT_REMEDY = 'repeat the call, which does no harm, or attach again'
 STEP_ROUTE = '/v1/trainers/{trainer}/steps/{step}'
 
 Coordinator = coordinator_module.StepCoordinator
@@ -138,7 +139,7 @@
             return
         try:
             self._forward(instance, messages.NewVersion(name, version))
-        except exceptions.NotRunError as error:
+        except exceptions.LentildealError as error:
             logger.debug('version {} of {}: {}', version, name, error)
 
     def _find_trainer(
@@ -215,11 +216,17 @@
             return self._kernel.peers.call(
                 instance, message, FORWARD_TIMEOUT_S
             )
-        except exceptions.PeerError as error:
+        except exceptions.PeerUnreachableError as error:
             raise exceptions.NotRunError(
-                f'the coordinator did not answer: {error.message}',
+                f'the coordinator was not reached: {error.message}',
                 cause=outcomes.Cause.OWNER_UNREACHABLE.value,
-                remedy='repeat the call, which does no harm, or attach again',
+                remedy=REPEAT_REMEDY,
+            ) from error
+        except exceptions.PeerError as error:
+            # The coordinator may have acted before its answer was lost.
+            raise exceptions.MayHaveRunError(
+                f'the coordinator did not answer: {error.message}',
+                remedy=REPEAT_REMEDY,
             ) from error
 
     def _close_previous(
