Test the daemon's refusal of bad settings through the program

Cause: refusals of settings were shown in unit tests only, and eventlet's deprecation notice preceded the JSON lines of the log. Change: functional tests for six kinds of bad settings; the notice is filtered at start.

--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -1,7 +1,13 @@
 """Entry of the daemon ``lentildeald``."""
 
+import warnings
+
+# Standard error carries one JSON object a line; the deprecation notice that
+# eventlet prints on import would not be one.
+warnings.filterwarnings('ignore', r'\s*Eventlet is deprecated')
+
 # Sockets must be patched before any other module keeps a reference to them.
-import eventlet
+import eventlet  # noqa: E402
 
 eventlet.monkey_patch()
 
--- /dev/null
+++ b/tests/functional/test_settings_file.py
@@ -0,0 +1,54 @@
+"""Settings files as the daemon program takes them."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from tests.lib import processes
+
+VALID = {
+    'instance': 'a1',
+    'failure_domain': 'a',
+    'http_address': '127.0.0.1:1',
+    'peer_address': '127.0.0.1:2',
+    'platform': {
+        name: {'url': 'http://127.0.0.1:3'}
+        for name in ('log', 'instances', 'weights')
+    },
+}
+BAD = {
+    'unknown key': ({'timming': {}}, 'nearest key is "timing"'),
+    'wrong type': ({'instance': 7}, 'expected a string'),
+    'host name': ({'http_address': 'localhost:1'}, 'IP number'),
+    'too small': ({'timing': {'heartbeat_ms': 0}}, 'too small'),
+    'order of times': ({'timing': {'suspect_ms': 9000}}, 'must grow'),
+}
+
+
+def start(path):
+    """Runs the daemon on a settings file that it has to refuse."""
+    command = [sys.executable, '-m', processes.DAEMON, str(path)]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60)
+
+
+@pytest.mark.parametrize('name', BAD)
+def test_bad_settings_are_refused_with_a_remedy(name, tmp_path):
+    """A daemon that starts with wrong settings fails later and elsewhere."""
+    change, expected = BAD[name]
+    path = tmp_path / 'settings.jsonc'
+    path.write_text(json.dumps({**VALID, **change}))
+    result = start(path)
+    assert result.returncode == 2
+    assert expected in result.stderr
+    assert 'remedy: ' in result.stderr
+    assert 'Deprecat' not in result.stderr
+
+
+def test_missing_settings_file_is_named(tmp_path):
+    """A wrong path must not end in a stack trace."""
+    result = start(tmp_path / 'none.jsonc')
+    assert result.returncode == 2
+    assert 'none.jsonc' in result.stderr
+    assert 'Traceback' not in result.stderr
