Test through daemons that refused texts change nothing

Cause: the refusal of bad texts by daemons was shown in unit tests only. Change: a functional test posts three kinds of bad text past the client and checks the text in effect and the log.

--- a/tests/functional/test_config_publish.py
+++ b/tests/functional/test_config_publish.py
@@ -197,6 +197,24 @@
         assert set(get_revisions(federation).values()) == {1}
 
 
+def test_refused_texts_change_nothing(federation):
+    """A daemon that trusts the client's check publishes a bad text."""
+    daemon = add_daemons(federation)[0]
+    text = config_texts.dump_text()
+    run_client(federation, 'config', 'publish', '-', '--base=-1', text=text)
+    wait_in_effect(federation, 0)
+    dangling = config_texts.make_text()
+    dangling['services'] = {'s': {'club': 'nobody', 'target': 'nowhere'}}
+    unknown = {**config_texts.make_text(), 'clubbs': {}}
+    for bad in ('{', json.dumps(dangling), json.dumps(unknown)):
+        body = {'base': 0, 'text': bad, 'author': 'x', 'edit_id': 'bad'}
+        status, answer = daemon.call('POST', '/v1/config', body)
+        assert status == 422 and answer['faults'], answer
+    _, shown = daemon.call('GET', '/v1/config')
+    assert (shown['revision'], shown['text']) == (0, text)
+    assert list(read_log(federation)) == [0]
+
+
 def test_commands_reach_the_daemons(federation):
     """A command asks for a route that no daemon has."""
     add_daemons(federation)
