Show progress while the client waits for a daemon

Cause: only 'config publish' printed progress; other commands waited up to 15 s in silence. Change: each call of a daemon prints a line a second after the first.

--- a/src/lentildeal/_internal/cli/progress.py
+++ b/src/lentildeal/_internal/cli/progress.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import sys
+import threading
 import time
 import typing
 
@@ -31,6 +33,25 @@
         print(f'{self._what}: {detail} ({seconds:.0f} s)', file=sys.stderr)
 
 
+@contextlib.contextmanager
+def show_waiting(what: str) -> typing.Iterator[None]:
+    """Prints lines while the body of a ``with`` statement waits."""
+    ended = threading.Event()
+    progress = Progress(what)
+
+    def print_lines() -> None:
+        while not ended.wait(REPEAT_S):
+            progress.update('waiting')
+
+    thread = threading.Thread(target=print_lines, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        thread.join()
+
+
 def poll(
     what: str,
     function: typing.Callable[[], typing.Optional[str]],
--- a/src/lentildeal/_internal/cli/server.py
+++ b/src/lentildeal/_internal/cli/server.py
@@ -14,6 +14,7 @@
 
 import urllib3
 
+from lentildeal._internal.cli import progress
 from lentildeal._internal import exceptions
 from lentildeal._internal.settings import settings
 
@@ -128,16 +129,8 @@
     def _call(self, address, method, path, value, timeout_s) -> Answer:
         url = f'http://{address}{path}'
         try:
-            response = self._pool.request(
-                method,
-                url,
-                body=None if value is None else json.dumps(value).encode(),
-                headers={'Content-Type': 'application/json'},
-                timeout=urllib3.Timeout(
-                    connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
-                ),
-                redirect=False,
-            )
+            with progress.show_waiting(address):
+                response = self._request(method, url, value, timeout_s)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -150,6 +143,18 @@
         self._note(f'{method} {url}: {response.status}')
         return _read_answer(address, response)
 
+    def _request(self, method, url, value, timeout_s):
+        return self._pool.request(
+            method,
+            url,
+            body=None if value is None else json.dumps(value).encode(),
+            headers={'Content-Type': 'application/json'},
+            timeout=urllib3.Timeout(
+                connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
+            ),
+            redirect=False,
+        )
+
     def _note(self, message: str) -> None:
         if self._is_verbose:
             print(message, file=sys.stderr)
