--- a/bench/measured.py
+++ b/bench/measured.py
@@ -10,8 +10,8 @@
 import pathlib
 import sys
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.kernel import plugins
-from lentildeal._internal.platform import base
 
 plugins.MODULES = (
     'lentildeal._internal.membership.plugin',
--- a/src/lentildeal/_internal/platform/http_engine.py
+++ b/src/lentildeal/_internal/adapters/http_engine.py
@@ -6,11 +6,11 @@
 import json
 import typing
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_client
 from lentildeal._internal.network import sse
-from lentildeal._internal.platform import base
 
 CONTROL_TIMEOUT_S = 2.0
 
--- a/src/lentildeal/_internal/platform/http_log.py
+++ b/src/lentildeal/_internal/adapters/http_log.py
@@ -4,10 +4,10 @@
 
 import http
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_client
-from lentildeal._internal.platform import base
 from lentildeal._internal.settings import settings as settings_module
 
 
--- a/src/lentildeal/_internal/callers/claim_log.py
+++ b/src/lentildeal/_internal/callers/claim_log.py
@@ -12,9 +12,9 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
-from lentildeal._internal.platform import base
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
--- a/src/lentildeal/_internal/callers/completions.py
+++ b/src/lentildeal/_internal/callers/completions.py
@@ -8,13 +8,13 @@
 
 import eventlet
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.callers import attempts
 from lentildeal._internal.callers import calls
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_server
 from lentildeal._internal.network import sse
-from lentildeal._internal.platform import base
 
 MAX_TOKENS_DEFAULT = 256
 LARGEST_MAX_TOKENS = 1_000_000
--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -6,6 +6,8 @@
 import secrets
 import typing
 
+from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import http_engine  # noqa: F401
 from lentildeal._internal.callers import attempts
 from lentildeal._internal.callers import calls
 from lentildeal._internal.callers import claims
@@ -19,8 +21,6 @@
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.network import http_server
-from lentildeal._internal.platform import base
-from lentildeal._internal.platform import http_engine  # noqa: F401
 from lentildeal._internal.routing import slots
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import hashing
--- a/src/lentildeal/_internal/config/fold.py
+++ b/src/lentildeal/_internal/config/fold.py
@@ -10,12 +10,12 @@
 import dataclasses
 import typing
 
+from lentildeal._internal.adapters import base as platform_base
 from lentildeal._internal.config import checks
 from lentildeal._internal.config import jsonc
 from lentildeal._internal.config import records
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import text as text_module
-from lentildeal._internal.platform import base as platform_base
 
 # Judgements kept for publishers and the history; a day at the design size
 # has 3,000 edits.
--- a/src/lentildeal/_internal/config/reader.py
+++ b/src/lentildeal/_internal/config/reader.py
@@ -9,6 +9,8 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base as platform_base
+from lentildeal._internal.adapters import http_log  # noqa: F401
 from lentildeal._internal.config import fold as fold_module
 from lentildeal._internal.config import records
 from lentildeal._internal.config import snapshots
@@ -17,8 +19,6 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.models import text as text_module
-from lentildeal._internal.platform import base as platform_base
-from lentildeal._internal.platform import http_log  # noqa: F401
 from lentildeal._internal.utils import backoff
 
 FETCH_TIMEOUT_S = 1.0
--- a/src/lentildeal/_internal/membership/contacts.py
+++ b/src/lentildeal/_internal/membership/contacts.py
@@ -8,9 +8,9 @@
 import eventlet
 from loguru import logger
 
+from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import http_instances  # noqa: F401
 from lentildeal._internal import exceptions
-from lentildeal._internal.platform import base
-from lentildeal._internal.platform import http_instances  # noqa: F401
 from lentildeal._internal.settings import settings as settings_module
 
 
--- a/src/lentildeal/_internal/membership/plugin.py
+++ b/src/lentildeal/_internal/membership/plugin.py
@@ -9,6 +9,7 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.membership import contacts
@@ -18,7 +19,6 @@
 from lentildeal._internal.membership import table as table_module
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
-from lentildeal._internal.platform import base
 from lentildeal._internal.utils import clock
 
 State = members.MemberState
--- a/src/lentildeal/_internal/membership/receivers.py
+++ b/src/lentildeal/_internal/membership/receivers.py
@@ -4,10 +4,10 @@
 
 import typing
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.membership import rendezvous
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
-from lentildeal._internal.platform import base
 
 Addresses = dict[ids.InstanceId, str]
 
--- a/src/lentildeal/_internal/membership/table.py
+++ b/src/lentildeal/_internal/membership/table.py
@@ -11,10 +11,10 @@
 import dataclasses
 import typing
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.membership import judging
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
-from lentildeal._internal.platform import base
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock as clock_module
 
--- a/src/lentildeal/_internal/orders/swaps.py
+++ b/src/lentildeal/_internal/orders/swaps.py
@@ -9,15 +9,15 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import http_engine  # noqa: F401
+from lentildeal._internal.adapters import http_weights  # noqa: F401
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.orders import pacing
 from lentildeal._internal.orders import terms
-from lentildeal._internal.platform import base
-from lentildeal._internal.platform import http_engine  # noqa: F401
-from lentildeal._internal.platform import http_weights  # noqa: F401
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import hashing
 from lentildeal._internal.utils import wakeup
--- a/src/lentildeal/_internal/orders/terms.py
+++ b/src/lentildeal/_internal/orders/terms.py
@@ -14,9 +14,9 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
-from lentildeal._internal.platform import base
 from lentildeal._internal.utils import backoff
 
 STREAM = 'terms'
--- a/src/lentildeal/_internal/rollouts/generation.py
+++ b/src/lentildeal/_internal/rollouts/generation.py
@@ -4,10 +4,10 @@
 
 import typing
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import samples
-from lentildeal._internal.platform import base
 
 # Longest silence of an engine, in seconds. It covers a queue in the engine
 # and a swap during which the engine does not generate (13 s for a pool).
--- a/src/lentildeal/_internal/rollouts/trainers_api.py
+++ b/src/lentildeal/_internal/rollouts/trainers_api.py
@@ -7,6 +7,7 @@
 import eventlet
 from loguru import logger
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
@@ -14,7 +15,6 @@
 from lentildeal._internal.models import samples
 from lentildeal._internal.models import text as text_module
 from lentildeal._internal.network import http_server
-from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import causes
 from lentildeal._internal.rollouts import coordinator as coordinator_module
 from lentildeal._internal.rollouts import delivery
--- a/src/lentildeal/_internal/rollouts/worker.py
+++ b/src/lentildeal/_internal/rollouts/worker.py
@@ -8,13 +8,13 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import text as text_module
-from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import backlogs
 from lentildeal._internal.rollouts import generation
 from lentildeal._internal.rollouts import messages
--- a/tests/lib/fake_log.py
+++ b/tests/lib/fake_log.py
@@ -7,9 +7,9 @@
 
 import eventlet
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
-from lentildeal._internal.platform import base
 
 POLL_S = 0.001
 
--- a/tests/lib/plugin_fakes.py
+++ b/tests/lib/plugin_fakes.py
@@ -5,10 +5,10 @@
 
 import eventlet
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_server
-from lentildeal._internal.platform import base
 from lentildeal._internal.settings import settings as settings_module
 
 
--- a/tests/unit/orders/test_swaps.py
+++ b/tests/unit/orders/test_swaps.py
@@ -4,9 +4,9 @@
 
 import eventlet
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal import exceptions
 from lentildeal._internal.orders import swaps
-from lentildeal._internal.platform import base
 
 
 class FakeEngine:
--- a/tests/unit/rollouts/test_worker_parts.py
+++ b/tests/unit/rollouts/test_worker_parts.py
@@ -2,9 +2,9 @@
 
 import types
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.models import outcomes
 from lentildeal._internal.models import samples
-from lentildeal._internal.platform import base
 from lentildeal._internal.rollouts import backlogs
 from lentildeal._internal.rollouts import causes
 from lentildeal._internal.rollouts import generation
--- a/tests/unit/test_config_checks.py
+++ b/tests/unit/test_config_checks.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies
 import pytest
 
+from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import http_engine  # noqa: F401
 from lentildeal._internal.config import checks
 from lentildeal._internal.config import jsonc
-from lentildeal._internal.platform import base
-from lentildeal._internal.platform import http_engine  # noqa: F401
 from tests.lib import config_texts
 
 FIXED = hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
--- a/tests/unit/test_config_fold.py
+++ b/tests/unit/test_config_fold.py
@@ -3,10 +3,10 @@
 import hypothesis
 from hypothesis import strategies
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.config import fold as fold_module
 from lentildeal._internal.config import jsonc
 from lentildeal._internal.config import records
-from lentildeal._internal.platform import base
 from tests.lib import fake_log
 
 FIXED = hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
--- a/tests/unit/test_config_publish.py
+++ b/tests/unit/test_config_publish.py
@@ -6,13 +6,13 @@
 import eventlet
 import pytest
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.config import publish
 from lentildeal._internal.config import reader
 from lentildeal._internal.config import records
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import members
-from lentildeal._internal.platform import base
 from tests.lib import config_texts
 from tests.lib import fake_kernel
 from tests.lib import fake_log
--- a/tests/unit/test_member_table.py
+++ b/tests/unit/test_member_table.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from lentildeal._internal.adapters import base
 from lentildeal._internal.membership import rendezvous
 from lentildeal._internal.membership import table as table_module
 from lentildeal._internal.models import members
-from lentildeal._internal.platform import base
 from lentildeal._internal.settings import settings
 
 State = members.MemberState
