--- a/bench/measured.py
+++ b/bench/measured.py
@@ -13,7 +13,7 @@
 from lentildeal._internal.adapters import base
 from lentildeal._internal.kernel import plugins
 
-plugins.MODULES = (
+plugins.STAND_ALONE_MODULES = (
     'lentildeal._internal.membership.plugin',
     'lentildeal._internal.reports.status',
 )
--- /dev/null
+++ b/src/lentildeal/_internal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Published text and replicas, followed from the platform's store."""
--- /dev/null
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -0,0 +1,150 @@
+"""Plug-in ``directory``: published text, named versions and replicas."""
+
+from __future__ import annotations
+
+import typing
+
+import prometheus_client
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal.directory import follower
+from lentildeal._internal.directory import replicas
+from lentildeal._internal import exceptions
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.platform import adapter  # noqa: F401
+from lentildeal._internal.utils import wakeup
+
+_unreadable_total = prometheus_client.Counter(
+    'lentildeal_unreadable_records_total',
+    'Directory records that are not in their published form.',
+    ['stream'],
+)
+
+
+@plugins.register('directory')
+class Directory(plugins.Plugin):
+    """Follows the directory streams of the platform."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self.platform = base.make_platform(kernel.settings)
+        self.replicas = replicas.ReplicaTable()
+        self.changed = wakeup.Wakeup()
+        self._text: typing.Optional[deployment.PublishedText] = None
+        self._versions: dict[ids.ModelName, ids.Version] = {}
+        self._reachable: dict[str, bool] = {}
+
+    @property
+    def text(self) -> typing.Optional[deployment.PublishedText]:
+        """The text in force, None before the first one."""
+        return self._text
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether text and replicas have been read once."""
+        streams = self.platform.directory_streams
+        return self._text is not None and all(
+            stream in self._reachable for stream in streams
+        )
+
+    def named_version(
+        self, model: ids.ModelName
+    ) -> typing.Optional[ids.Version]:
+        """Version that the trainer named last, None before the first."""
+        return self._versions.get(model)
+
+    def start(self) -> None:
+        """Starts a green thread for each stream."""
+        for stream in self.platform.directory_streams:
+            keyed = follower.KeyedFollower(self.platform.store, stream, self)
+            self._kernel.spawn(f'follow-{stream}', keyed.run)
+
+    def take_all(self, stream: str, records: list[base.KeyedRecord]) -> None:
+        """See ``follower.KeyedSink``."""
+        changes = [
+            change
+            for change in (self._decode(stream, r) for r in records)
+            if change is not None
+        ]
+        of_replicas = [
+            change
+            for change in changes
+            if isinstance(change, deployment.ReplicaChange)
+        ]
+        for change in changes:
+            if not isinstance(change, deployment.ReplicaChange):
+                self._apply(change)
+        if of_replicas or self._is_replica_stream(stream):
+            self.replicas.replace_all(of_replicas)
+        self.changed.set()
+
+    def take(self, stream: str, record: base.KeyedRecord) -> None:
+        """See ``follower.KeyedSink``."""
+        change = self._decode(stream, record)
+        if change is not None:
+            self._apply(change)
+            self.changed.set()
+
+    def note_reachable(self, stream: str, is_reachable: bool) -> None:
+        """See ``follower.KeyedSink``."""
+        if is_reachable and self._reachable.get(stream) is not True:
+            events.emit('dependency_regained', dependency=stream)
+        elif not is_reachable and self._reachable.get(stream) is True:
+            events.emit('dependency_lost', dependency=stream)
+        elif not is_reachable and stream not in self._reachable:
+            # Nothing was read yet, so nothing can have lapsed.
+            return
+        self._reachable[stream] = is_reachable
+        if is_reachable:
+            self.replicas.note_store_regained()
+        else:
+            self.replicas.note_store_lost()
+
+    def _is_replica_stream(self, stream: str) -> bool:
+        return stream == self.platform.directory_streams[-1]
+
+    def _decode(
+        self, stream: str, record: base.KeyedRecord
+    ) -> typing.Optional[deployment.Change]:
+        try:
+            return self.platform.decode_change(stream, record)
+        except exceptions.UnreadableRecordError as error:
+            _unreadable_total.labels(stream).inc()
+            events.emit(
+                'record_ignored',
+                stream=stream,
+                key=record.key,
+                reason=error.message,
+            )
+            return None
+
+    def _apply(self, change: deployment.Change) -> None:
+        if isinstance(change, deployment.ReplicaChange):
+            self._apply_replica(change)
+        elif isinstance(change, deployment.VersionNamed):
+            known = self._versions.get(change.model, 0)
+            if change.version > known:
+                self._versions[change.model] = change.version
+                events.emit(
+                    'version_named',
+                    model=change.model,
+                    version=change.version,
+                )
+        elif self._text is None or change.text.version > self._text.version:
+            self._text = change.text
+            events.emit('text_applied', version=change.text.version)
+
+    def _apply_replica(self, change: deployment.ReplicaChange) -> None:
+        before = self.replicas.get(change.replica_id)
+        self.replicas.apply(change)
+        after = self.replicas.get(change.replica_id)
+        if before != after:
+            events.emit(
+                'replica_changed',
+                replica=change.replica_id,
+                state=after.state.value if after else 'gone',
+                versions=after.versions if after else {},
+            )
--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -60,6 +60,26 @@
     default_remedy = 'read the stream to find out whether the record is there'
 
 
+class LogTrimmedError(PlatformError):
+    """A read asked for records that the log has dropped.
+
+    Attributes:
+        oldest: Offset of the oldest record that is left.
+    """
+
+    default_remedy = 'read on from the oldest record'
+
+    def __init__(self, message: str, oldest: int) -> None:
+        super().__init__(message)
+        self.oldest = oldest
+
+
+class UnreadableRecordError(PlatformError):
+    """A record that others wrote is not in its published form."""
+
+    default_remedy = 'correct what wrote the record'
+
+
 class FenceRejectedError(PlatformError):
     """A target refused an order because it has seen a newer token."""
 
--- /dev/null
+++ b/src/lentildeal/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Live calls on a platform deployment."""
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Durable batch jobs."""
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -0,0 +1,181 @@
+"""One run of an item at a replica."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import jobs
+from lentildeal._internal.network import sse
+from lentildeal._internal.network import target_connections
+from lentildeal._internal.utils import clock
+
+# A run ends by its scheduler's judgement of silence long before this; it
+# only bounds a read that nobody watches any more.
+SOCKET_SILENCE_S = 20.0
+NEVER_POSSIBLE = 422
+
+
+class Ending(str, enum.Enum):
+    """How a run ended."""
+
+    COMPLETE = 'complete'
+    FAILED = 'failed'
+    NOT_RUN = 'not_run'
+    IMPOSSIBLE = 'impossible'
+    BROKEN = 'broken'
+
+
+class Attempt:
+    """Sends an item to a replica and gathers its events.
+
+    Attributes:
+        replica: Replica that runs it.
+        started_s: When it began.
+        heard_s: When bytes came last.
+        run_events: Events of this run.
+        facts: Head of the answer, None before it.
+    """
+
+    def __init__(
+        self,
+        platform: base.Platform,
+        connections: target_connections.TargetConnections,
+        replica: deployment.Replica,
+        progress: jobs.Progress,
+    ) -> None:
+        self.replica = replica
+        self.started_s = clock.monotonic_s()
+        self.heard_s = self.started_s
+        self.run_events = 0
+        self.first_event_s: typing.Optional[float] = None
+        self.facts: typing.Optional[base.AnswerFacts] = None
+        self.reason = ''
+        self._platform = platform
+        self._connections = connections
+        self._events = list(progress.events)
+        self._last_event_id = progress.last_event_id
+        self._versions = set(progress.versions)
+        self._version: typing.Optional[ids.Version] = None
+
+    @property
+    def progress(self) -> jobs.Progress:
+        """All events so far, also those of earlier runs."""
+        return jobs.Progress(
+            tuple(self._events),
+            self._last_event_id,
+            tuple(sorted(self._versions)),
+        )
+
+    @property
+    def event_count(self) -> int:
+        """Number of events so far, also those of earlier runs."""
+        return len(self._events)
+
+    @property
+    def pace_s(self) -> typing.Optional[float]:
+        """Seconds for an event of this run, None before two events."""
+        if self.run_events < 2:
+            return None
+        return (self.heard_s - self.first_event_s) / (self.run_events - 1)
+
+    def run(self, host: str, item: jobs.Item) -> Ending:
+        """Runs the item; returns how it ended, with ``reason``."""
+        headers = [*item.headers.items(), ('Host', host)]
+        headers += self._platform.make_headers(
+            self.replica,
+            request_id=item.item_id,
+            resume_after=self._last_event_id,
+        )
+        try:
+            response = self._connections.send(
+                self.replica.address,
+                'POST',
+                item.path,
+                headers,
+                item.body,
+                silence_s=SOCKET_SILENCE_S,
+            )
+        except exceptions.NotRunError as error:
+            self.reason = error.message
+            return Ending.NOT_RUN
+        except exceptions.MayHaveRunError as error:
+            self.reason = error.message
+            return Ending.BROKEN
+        self.heard_s = clock.monotonic_s()
+        try:
+            return self._read(response, item)
+        except exceptions.TruncatedAnswerError as error:
+            self.reason = error.message
+            return Ending.BROKEN
+        finally:
+            # Without effect after a whole answer, whose connection went back.
+            response.abandon()
+
+    def _read(
+        self, response: target_connections.TargetResponse, item: jobs.Item
+    ) -> Ending:
+        facts = self._platform.read_answer(response.status, response.headers)
+        self.facts = facts
+        if facts.request_id not in (None, item.item_id):
+            self.reason = f'answer of another request, {facts.request_id}'
+            return Ending.BROKEN
+        if response.status == 200 and facts.request_id == item.item_id:
+            self._version = facts.version
+            return self._read_events(response)
+        response.read()
+        self.reason = f'status {response.status}'
+        if facts.is_not_run:
+            return Ending.NOT_RUN
+        if response.status == NEVER_POSSIBLE:
+            return Ending.IMPOSSIBLE
+        return Ending.FAILED if response.status >= 500 else Ending.BROKEN
+
+    def _read_events(
+        self, response: target_connections.TargetResponse
+    ) -> Ending:
+        parser = sse.EventParser()
+        for chunk in response.iter_chunks():
+            for event in parser.feed_events(chunk):
+                self._take(event)
+        if parser.has_rest:
+            self.reason = 'the stream ended within an event'
+            return Ending.BROKEN
+        if not response.has_marked_end:
+            self.reason = 'the end of the stream is not marked'
+            return Ending.BROKEN
+        return Ending.COMPLETE
+
+    def _take(self, event: sse.Event) -> None:
+        changed = self._platform.read_event_version(event.fields)
+        if changed is not None:
+            self._version = changed
+        self._check_order(event)
+        now_s = clock.monotonic_s()
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        self.heard_s = now_s
+        self.run_events += 1
+        self._events.append(event.data)
+        self._last_event_id = event.event_id
+        self._versions.add(self._version)
+
+    def _check_order(self, event: sse.Event) -> None:
+        if event.event_id is None or not event.event_id.isdigit():
+            raise exceptions.TruncatedAnswerError(
+                f'event id {event.event_id!r} is no number'
+            )
+        if self._version is None:
+            raise exceptions.TruncatedAnswerError(
+                'the answer names no version'
+            )
+        if self._last_event_id is None:
+            return
+        if int(event.event_id) != int(self._last_event_id) + 1:
+            raise exceptions.TruncatedAnswerError(
+                f'event {event.event_id} follows on {self._last_event_id}'
+            )
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/duty_keeper.py
@@ -0,0 +1,218 @@
+"""Plug-in ``duties``: claims vacant duties and renews those held."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import eventlet
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import records
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
+from lentildeal._internal.models import ids
+from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import hashing
+from lentildeal._internal.utils import wakeup
+
+CHECK_INTERVAL_S = 0.1
+RENEWAL_INTERVAL_S = 0.5
+# Three renewals may be lost or late before others take a duty over.
+TIMEOUT_S = 2.0
+# A holder stops before others take over. Its lease counts from before the
+# renewal was sent, theirs from when they saw it.
+LEASE_S = 1.7
+# Claims are spread over this time, so that most of them are not made at all.
+CLAIM_SPREAD_S = 0.3
+# Each duty already held lets others be faster.
+CLAIM_DELAY_PER_DUTY_S = 0.35
+
+_held = prometheus_client.Gauge(
+    'lentildeal_duties_held', 'Duties that this daemon holds.'
+)
+
+
+def orders_duty(service: ids.ServiceName) -> ids.DutyName:
+    """Name of the duty to order the replicas of a service."""
+    return ids.DutyName(f'orders/{service}')
+
+
+def jobs_duty(model: ids.ModelName) -> ids.DutyName:
+    """Name of the duty to run the jobs of a model."""
+    return ids.DutyName(f'jobs/{model}')
+
+
+@dataclasses.dataclass
+class _Lease:
+    term: ids.Term
+    until_s: float
+
+
+@plugins.register('duties', after=('work_log',))
+class DutyKeeper(plugins.Plugin):
+    """Holds a part of the duties of the deployment."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self.changed = wakeup.Wakeup()
+        self._directory = kernel.plugin('directory')
+        self._log = kernel.plugin('work_log')
+        self._instance = kernel.settings.instance
+        self._leases: dict[ids.DutyName, _Lease] = {}
+        self._vacant_since_s: dict[ids.DutyName, float] = {}
+        self._resigned: set[ids.Term] = set()
+        self._renewed_s = 0.0
+        self._is_leaving = False
+
+    def start(self) -> None:
+        """See the base class."""
+        self._kernel.spawn('duties', self._run)
+
+    def find_term(self, duty: ids.DutyName) -> typing.Optional[ids.Term]:
+        """Term under which this daemon holds a duty now, None if not."""
+        lease = self._leases.get(duty)
+        if lease is None or lease.until_s <= clock.boottime_s():
+            return None
+        if self._log.duties.get(duty).term != lease.term:
+            return None
+        return lease.term
+
+    def is_taken_over(self, duty: ids.DutyName) -> bool:
+        """Whether the log shows that another daemon holds a duty."""
+        state = self._log.duties.get(duty)
+        return state.holder is not None and not self._is_mine(duty)
+
+    def last_seen_s(self, duty: ids.DutyName) -> float:
+        """When the log last showed a holder, by the clock of suspension."""
+        return self._log.duties.get(duty).seen_s
+
+    def resign_all(self) -> None:
+        """Gives all duties back, before a planned stop."""
+        self._is_leaving = True
+        for duty in list(self._leases):
+            self.resign(duty, 'leaving')
+
+    def resign(self, duty: ids.DutyName, reason: str) -> None:
+        """Gives one duty back."""
+        lease = self._leases.pop(duty, None)
+        if lease is None:
+            return
+        events.emit(
+            'duty_lost', duty=duty, term=lease.term, reason=reason
+        )
+        self._resigned.add(lease.term)
+        self._log.enqueue(records.Resignation(duty, lease.term))
+        self.changed.set()
+
+    def _is_mine(self, duty: ids.DutyName) -> bool:
+        state = self._log.duties.get(duty)
+        return (
+            state.holder == self._instance
+            and state.incarnation == self._kernel.incarnation
+        )
+
+    def _run(self) -> None:
+        while True:
+            if self._directory.is_loaded and self._log.is_caught_up:
+                self._drop_lost()
+                self._renew()
+                if not self._is_leaving:
+                    self._claim_vacant()
+                _held.set(len(self._leases))
+            eventlet.sleep(CHECK_INTERVAL_S)
+
+    def _wanted(self) -> list[ids.DutyName]:
+        found = []
+        for service in self._directory.text.iter_engine_services():
+            found.append(orders_duty(service.name))
+            found.extend(jobs_duty(model) for model in service.models)
+        return found
+
+    def _drop_lost(self) -> None:
+        for duty, lease in list(self._leases.items()):
+            if self._log.duties.get(duty).term != lease.term:
+                del self._leases[duty]
+                events.emit(
+                    'duty_lost',
+                    duty=duty,
+                    term=lease.term,
+                    reason='another daemon has claimed it',
+                )
+                self.changed.set()
+
+    def _renew(self) -> None:
+        now_s = clock.boottime_s()
+        if not self._leases or now_s - self._renewed_s < RENEWAL_INTERVAL_S:
+            return
+        pairs = tuple((d, lease.term) for d, lease in self._leases.items())
+        try:
+            self._log.append([records.Renewal(pairs)])
+        except exceptions.PlatformError:
+            # Tried again at the next check; the lease ends if it fails on.
+            return
+        self._renewed_s = now_s
+        for duty, term in pairs:
+            lease = self._leases.get(duty)
+            if lease is not None and lease.term == term:
+                lease.until_s = now_s + LEASE_S
+
+    def _claim_vacant(self) -> None:
+        for duty in self._wanted():
+            if duty in self._leases or not self._is_vacant(duty):
+                self._vacant_since_s.pop(duty, None)
+                self._adopt(duty)
+                continue
+            now_s = clock.boottime_s()
+            since_s = self._vacant_since_s.setdefault(duty, now_s)
+            if now_s - since_s >= self._claim_delay_s(duty):
+                self._claim(duty)
+
+    def _adopt(self, duty: ids.DutyName) -> None:
+        """Keeps a duty whose claim took effect without an answer.
+
+        It is held from the next renewal on.
+        """
+        term = self._log.duties.get(duty).term
+        is_known = duty in self._leases or term in self._resigned
+        if self._is_mine(duty) and not is_known:
+            self._leases[duty] = _Lease(term, 0.0)
+            self._renewed_s = 0.0
+
+    def _is_vacant(self, duty: ids.DutyName) -> bool:
+        return self._log.duties.is_vacant(
+            duty,
+            now_s=clock.boottime_s(),
+            heard_since_s=self._log.heard_since_s,
+            timeout_s=TIMEOUT_S,
+        )
+
+    def _claim_delay_s(self, duty: ids.DutyName) -> float:
+        state = self._log.duties.get(duty)
+        share = hashing.hash_text(duty, self._instance, str(state.term))
+        return (
+            CLAIM_SPREAD_S * (share / 2**64)
+            + CLAIM_DELAY_PER_DUTY_S * len(self._leases)
+        )
+
+    def _claim(self, duty: ids.DutyName) -> None:
+        previous = self._log.duties.get(duty).holder
+        claim = self._log.duties.make_claim(
+            duty, self._instance, self._kernel.incarnation
+        )
+        sent_s = clock.boottime_s()
+        try:
+            self._log.append([claim])
+            self._log.sync()
+        except exceptions.PlatformError:
+            # If the claim took effect after all, its term is found by the
+            # next check or runs out.
+            return
+        state = self._log.duties.get(duty)
+        if self._is_mine(duty):
+            self._leases[duty] = _Lease(state.term, sent_s + LEASE_S)
+            events.emit(
+                'duty_claimed', duty=duty, term=state.term, previous=previous
+            )
+            self.changed.set()
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -0,0 +1,101 @@
+"""Reads the items of a job back from the work log."""
+
+from __future__ import annotations
+
+import typing
+
+from lentildeal._internal.jobs import table
+from lentildeal._internal.jobs import tasks
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import jobs
+
+if typing.TYPE_CHECKING:
+    from lentildeal._internal.jobs import work_log as work_log_module
+
+
+def load_items(
+    work_log: work_log_module.WorkLog, entry: table.JobEntry
+) -> list[jobs.Item]:
+    """Items of a job, in order.
+
+    Raises:
+        exceptions.PlatformError: The log did not answer.
+    """
+    items: list[jobs.Item] = []
+    for _, place in entry.parts:
+        items.extend(work_log.read_record(place).iter_items())
+    return items
+
+
+def load_item(
+    work_log: work_log_module.WorkLog, entry: table.JobEntry, index: int
+) -> jobs.Item:
+    """One item of a job.
+
+    Raises:
+        exceptions.PlatformError: The log did not answer.
+    """
+    first, place = entry.find_part(index)
+    part = work_log.read_record(place)
+    return jobs.Item(*part.items[index - first])
+
+
+def load_tasks(
+    work_log: work_log_module.WorkLog,
+    text: deployment.PublishedText,
+    entry: table.JobEntry,
+) -> list[tasks.ItemTask]:
+    """Makes the tasks of the items of a job that have no result.
+
+    Raises:
+        exceptions.PlatformError: The log did not answer.
+    """
+    found = []
+    for index, item in enumerate(load_items(work_log, entry)):
+        if entry.is_listed(index):
+            continue
+        is_carried = work_log.table.is_carried(
+            item.item_id, entry.head.job_id
+        )
+        saved = entry.checkpoints.get(index)
+        if saved is None and is_carried:
+            saved = work_log.table.find_checkpoint(item.item_id)
+        task = tasks.ItemTask(
+            entry,
+            index,
+            item,
+            jobs.Progress(),
+            expected_events=item.expected_tokens
+            / _tokens_per_event(text, entry, item),
+            is_carried=is_carried,
+        )
+        if saved is not None:
+            progress = _load_progress(work_log, saved)
+            route = text.find_route(entry.head.host, item.path)
+            is_single = route is not None and route.is_single_version
+            if task.is_valid(progress, is_single):
+                task.progress = progress
+                task.saved_events = len(progress.events)
+        found.append(task)
+    return found
+
+
+def _load_progress(
+    work_log: work_log_module.WorkLog, saved: table.SavedProgress
+) -> jobs.Progress:
+    record = work_log.read_record(saved.place)
+    return jobs.Progress(
+        record.events, record.last_event_id, record.versions
+    )
+
+
+def _tokens_per_event(
+    text: deployment.PublishedText,
+    entry: table.JobEntry,
+    item: jobs.Item,
+) -> int:
+    route = text.find_route(entry.head.host, item.path)
+    if route is None:
+        return 1
+    service = text.services.get(route.shares[0].service)
+    return service.tokens_per_event if service is not None else 1
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -0,0 +1,263 @@
+"""Plug-in ``jobs``: acceptance, results and ends of batch jobs."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import eventlet
+import prometheus_client
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import loading
+from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import runner
+from lentildeal._internal.jobs import table
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import jobs
+from lentildeal._internal.utils import clock
+
+# Most text in one answer, in bytes; callers read on from the next position.
+PAGE_BYTES = 900_000
+# Time in which an append is tried again before the trainer is told to come
+# back; a repeat at another daemon costs it less than a longer wait.
+SUBMIT_S = 1.5
+# Time in which the outcome of an append without an answer is looked for.
+OUTCOME_S = 2.5
+END_S = 3.0
+RETRY_S = 0.1
+
+_jobs_total = prometheus_client.Counter(
+    'lentildeal_jobs_total', 'Submissions by outcome.', ['outcome']
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class JobPage:
+    """Results of a job from a position on.
+
+    Attributes:
+        total: Number of items of the job.
+        next: Position after the last result of this page.
+        results: Results in order.
+    """
+
+    total: int
+    next: int
+    results: tuple[jobs.Result, ...]
+
+
+@plugins.register('jobs', after=('directory', 'work_log', 'duties'))
+class Jobs(plugins.Plugin):
+    """Serves trainers at any daemon."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self._log = kernel.plugin('work_log')
+        self._duties = kernel.plugin('duties')
+        self._runner = runner.JobRunner(kernel)
+
+    def start(self) -> None:
+        """See the base class."""
+        directory = self._kernel.plugin('directory')
+        self._kernel.spawn('job-runner', self._runner.run)
+        for name, source in (
+            ('work-log', self._log.changed),
+            ('directory', directory.changed),
+            ('duties', self._duties.changed),
+        ):
+            self._kernel.spawn(
+                f'wake-on-{name}', self._runner.wake_on_changes, source
+            )
+
+    def drain(self) -> None:
+        """Saves progress, then hands the duties over."""
+        self._runner.leave()
+        self._duties.resign_all()
+
+    def submit(self, job: jobs.Job) -> None:
+        """Accepts a job; returns once it is in the log.
+
+        Raises:
+            exceptions.NotRunError: No item of it runs.
+            exceptions.MayHaveRunError: Its acceptance is not known.
+        """
+        started_s = clock.monotonic_s()
+        try:
+            self._submit(job)
+        except exceptions.LentildealError as error:
+            is_refusal = isinstance(error, exceptions.NotRunError)
+            _jobs_total.labels('refused' if is_refusal else 'unknown').inc()
+            events.emit(
+                'job_refused',
+                job=job.head.job_id,
+                status=503 if is_refusal else 504,
+                reason=error.message,
+                elapsed_ms=_elapsed_ms(started_s),
+            )
+            raise
+        _jobs_total.labels('accepted').inc()
+        events.emit(
+            'job_accepted',
+            job=job.head.job_id,
+            model=job.head.model,
+            step=job.head.step,
+            items=job.head.item_count,
+            elapsed_ms=_elapsed_ms(started_s),
+        )
+
+    def read(self, job_id: ids.JobId, after: int, wait_s: float) -> JobPage:
+        """Results from a position on; waits for one if there is none.
+
+        Raises:
+            exceptions.NotFoundError: There is no such job.
+            exceptions.NotRunError: This daemon can't tell now.
+        """
+        entry = self._find(job_id)
+        deadline = clock.Deadline(wait_s)
+        while len(entry.results) <= after and entry.is_open:
+            if deadline.has_passed:
+                break
+            self._log.changed.wait(deadline.remaining_s)
+        if entry.head.item_count > len(entry.results) <= after:
+            # A position that another daemon has shown may be new to this one.
+            self._sync()
+        return self._make_page(entry, after)
+
+    def read_body(
+        self, job_id: ids.JobId, item_id: ids.ItemId
+    ) -> typing.Optional[bytes]:
+        """Body of an item, None if the job has no such item.
+
+        Raises:
+            exceptions.NotFoundError: There is no such job.
+            exceptions.NotRunError: This daemon can't tell now.
+        """
+        entry = self._find(job_id)
+        index = entry.find_index(item_id)
+        if index is None:
+            return None
+        try:
+            return loading.load_item(self._log, entry, index).body
+        except exceptions.PlatformError as error:
+            raise _make_unsure(error) from error
+
+    def end(self, job_id: ids.JobId) -> None:
+        """Ends a job; returns once the end is in the log.
+
+        Raises:
+            exceptions.NotFoundError: There is no such job.
+            exceptions.NotRunError: The end could not be stored.
+        """
+        entry = self._find(job_id)
+        if entry.is_ended:
+            return
+        deadline = clock.Deadline(END_S)
+        while True:
+            try:
+                self._log.append([records.JobEnd(job_id)])
+                break
+            except exceptions.PlatformError as error:
+                if deadline.has_passed:
+                    raise _make_unsure(error) from error
+                eventlet.sleep(RETRY_S)
+        events.emit('job_ended', job=job_id, listed=len(entry.results))
+
+    def _submit(self, job: jobs.Job) -> None:
+        if self._is_known(job.head.job_id):
+            return
+        limit = self._kernel.settings.store.record_bytes
+        parts = records.split_job(job, limit)
+        deadline = clock.Deadline(SUBMIT_S)
+        while True:
+            try:
+                self._log.append(parts)
+                return
+            except exceptions.LogAnswerLostError:
+                self._find_outcome(job, parts)
+                return
+            except exceptions.LogUnavailableError as error:
+                if deadline.has_passed:
+                    raise _make_unsure(error) from error
+                eventlet.sleep(RETRY_S)
+
+    def _find_outcome(
+        self, job: jobs.Job, parts: list[records.JobPart]
+    ) -> None:
+        """Learns whether an append without an answer took effect.
+
+        It is repeated, as the log shows the first one only.
+
+        Raises:
+            exceptions.MayHaveRunError: It may still take effect.
+        """
+        deadline = clock.Deadline(OUTCOME_S)
+        while not deadline.has_passed:
+            try:
+                self._log.sync()
+                if self._is_known(job.head.job_id):
+                    return
+                self._log.append(parts)
+                return
+            except exceptions.PlatformError:
+                eventlet.sleep(RETRY_S)
+        raise exceptions.MayHaveRunError(
+            f'job {job.head.job_id}: the store did not confirm it'
+        )
+
+    def _is_known(self, job_id: ids.JobId) -> bool:
+        entry = self._log.table.get(job_id)
+        return entry is not None and (
+            len(entry.item_ids) == entry.head.item_count
+        )
+
+    def _find(self, job_id: ids.JobId) -> table.JobEntry:
+        if not self._log.is_caught_up or not self._is_known(job_id):
+            # Only the end of the log tells that a job does not exist.
+            self._sync()
+        if not self._is_known(job_id):
+            raise exceptions.NotFoundError(f'there is no job {job_id}')
+        return self._log.table.get(job_id)
+
+    def _sync(self) -> None:
+        try:
+            self._log.sync()
+        except exceptions.PlatformError as error:
+            raise _make_unsure(error) from error
+
+    def _make_page(self, entry: table.JobEntry, after: int) -> JobPage:
+        found: list[jobs.Result] = []
+        size_bytes = 0
+        for listed in entry.results[after:]:
+            try:
+                record = self._log.read_record(listed.place)
+            except exceptions.PlatformError as error:
+                if found:
+                    break
+                raise _make_unsure(error) from error
+            size_bytes += len(record.text)
+            if found and size_bytes > PAGE_BYTES:
+                break
+            found.append(
+                jobs.Result(
+                    entry.item_ids[listed.index],
+                    listed.state,
+                    record.text,
+                    listed.versions,
+                )
+            )
+        return JobPage(
+            entry.head.item_count, after + len(found), tuple(found)
+        )
+
+
+def _make_unsure(error: exceptions.LentildealError) -> exceptions.NotRunError:
+    return exceptions.NotRunError(
+        f'the store does not answer: {error.message}', cause='store_down'
+    )
+
+
+def _elapsed_ms(since_s: float) -> int:
+    return int((clock.monotonic_s() - since_s) * 1000)
--- /dev/null
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -0,0 +1,219 @@
+"""Jobs and results as all daemons derive them from the work log.
+
+The rules depend on the records alone, so that every daemon gets the same
+positions. Repeated and late records change nothing.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from lentildeal._internal.jobs import records
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import jobs
+
+
+class Place(typing.NamedTuple):
+    """Where a record is in the work log."""
+
+    offset: ids.Offset
+    size_bytes: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ListedResult:
+    """A result at its position; the text stays in the log."""
+
+    index: int
+    state: jobs.ResultState
+    versions: tuple[int, ...]
+    place: Place
+
+
+@dataclasses.dataclass(frozen=True)
+class SavedProgress:
+    """The newest checkpoint of an item."""
+
+    versions: tuple[int, ...]
+    event_count: int
+    place: Place
+
+
+class JobEntry:
+    """What is kept of a job in memory."""
+
+    def __init__(self, head: jobs.JobHead) -> None:
+        self.head = head
+        self.parts: list[tuple[int, Place]] = []
+        self.item_ids: list[ids.ItemId] = []
+        self.results: list[ListedResult] = []
+        self.checkpoints: dict[int, SavedProgress] = {}
+        self.is_ended = False
+        self._listed: set[int] = set()
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all items have a result."""
+        return len(self.results) == self.head.item_count
+
+    @property
+    def is_open(self) -> bool:
+        """Whether items are still to be run."""
+        return not (self.is_ended or self.is_whole)
+
+    def is_listed(self, index: int) -> bool:
+        """Whether an item has a result."""
+        return index in self._listed
+
+    def find_index(self, item_id: ids.ItemId) -> typing.Optional[int]:
+        """Number of an item, None if the job has no such item."""
+        try:
+            return self.item_ids.index(item_id)
+        except ValueError:
+            return None
+
+    def find_part(self, index: int) -> tuple[int, Place]:
+        """First number and place of the part that holds an item."""
+        return max(part for part in self.parts if part[0] <= index)
+
+    def list_result(self, result: ListedResult) -> bool:
+        """Appends a result; False if the item has one already."""
+        if result.index in self._listed:
+            return False
+        if not 0 <= result.index < self.head.item_count:
+            return False
+        self._listed.add(result.index)
+        self.results.append(result)
+        self.checkpoints.pop(result.index, None)
+        return True
+
+
+class JobTable:
+    """All jobs that the work log holds."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[ids.JobId, JobEntry] = {}
+        self._listed_items: dict[
+            ids.ItemId, tuple[ids.JobId, ListedResult]
+        ] = {}
+        self._first_jobs: dict[ids.ItemId, ids.JobId] = {}
+
+    def get(self, job_id: ids.JobId) -> typing.Optional[JobEntry]:
+        """Returns a job, None if it is not known."""
+        return self._jobs.get(job_id)
+
+    def iter_open(self) -> typing.Iterator[JobEntry]:
+        """Jobs with items to run, oldest first."""
+        return (entry for entry in self._jobs.values() if entry.is_open)
+
+    def find_done(
+        self, item_id: ids.ItemId
+    ) -> typing.Optional[tuple[ids.JobId, ListedResult]]:
+        """Last complete text of an item, in whatever job."""
+        return self._listed_items.get(item_id)
+
+    def is_carried(self, item_id: ids.ItemId, job_id: ids.JobId) -> bool:
+        """Whether an item was in an earlier job already."""
+        return self._first_jobs.get(item_id, job_id) != job_id
+
+    def find_checkpoint(
+        self, item_id: ids.ItemId
+    ) -> typing.Optional[SavedProgress]:
+        """Longest checkpoint of an item, in whatever job."""
+        found = []
+        for entry in self._jobs.values():
+            index = entry.find_index(item_id)
+            if index is not None and index in entry.checkpoints:
+                found.append(entry.checkpoints[index])
+        return max(found, key=lambda saved: saved.event_count, default=None)
+
+    def apply(self, record: records.Record, place: Place) -> bool:
+        """Takes in a record; returns whether it changed anything."""
+        if isinstance(record, records.JobPart):
+            return self._apply_part(record, place)
+        entry = self._jobs.get(getattr(record, 'job_id', ids.JobId('')))
+        if entry is None:
+            return False
+        if isinstance(record, records.JobEnd):
+            is_change = not entry.is_ended
+            entry.is_ended = True
+            return is_change
+        # Results and checkpoints also count after the end: a group that was
+        # not complete may come again in a later job.
+        if not 0 <= record.index < len(entry.item_ids):
+            return False
+        if isinstance(record, records.ItemResult):
+            return self._apply_result(entry, record, place)
+        return self._apply_checkpoint(entry, record, place)
+
+    def drop_submitted_before(self, unix_ms: int) -> int:
+        """Forgets jobs that nobody may ask for any more."""
+        old = [
+            job_id
+            for job_id, entry in self._jobs.items()
+            if entry.head.submitted_ms < unix_ms
+        ]
+        for job_id in old:
+            del self._jobs[job_id]
+        if old:
+            self._listed_items = {
+                item_id: found
+                for item_id, found in self._listed_items.items()
+                if found[0] in self._jobs
+            }
+            self._first_jobs = {
+                item_id: job_id
+                for item_id, job_id in self._first_jobs.items()
+                if job_id in self._jobs
+            }
+        return len(old)
+
+    def _apply_part(self, part: records.JobPart, place: Place) -> bool:
+        head = part.job_head
+        entry = self._jobs.get(head.job_id)
+        if entry is None:
+            if part.first != 0:
+                # Its first part was dropped by the log.
+                return False
+            entry = self._jobs[head.job_id] = JobEntry(head)
+        # Parts are contiguous within one append. A repeated submission
+        # starts again with the first item and is ignored.
+        if part.first != len(entry.item_ids):
+            return False
+        if entry.parts and entry.parts[-1][1].offset != place.offset - 1:
+            return False
+        entry.parts.append((part.first, place))
+        for fields in part.items:
+            entry.item_ids.append(fields[0])
+            self._first_jobs.setdefault(fields[0], head.job_id)
+        return True
+
+    def _apply_result(
+        self, entry: JobEntry, record: records.ItemResult, place: Place
+    ) -> bool:
+        result = ListedResult(
+            record.index,
+            jobs.ResultState(record.state),
+            record.versions,
+            place,
+        )
+        if not entry.list_result(result):
+            return False
+        if result.state is jobs.ResultState.DONE:
+            item_id = entry.item_ids[record.index]
+            self._listed_items[item_id] = entry.head.job_id, result
+        return True
+
+    def _apply_checkpoint(
+        self, entry: JobEntry, record: records.Checkpoint, place: Place
+    ) -> bool:
+        if entry.is_listed(record.index):
+            return False
+        known = entry.checkpoints.get(record.index)
+        if known is not None and known.event_count >= len(record.events):
+            return False
+        entry.checkpoints[record.index] = SavedProgress(
+            record.versions, len(record.events), place
+        )
+        return True
--- a/src/lentildeal/_internal/kernel/kernel.py
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -12,9 +12,9 @@
 import prometheus_client
 
 from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_server
-from lentildeal._internal.network import peers
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
 
@@ -46,7 +46,7 @@
         self.incarnation = ids.Incarnation(random.getrandbits(63))
         self.router = http_server.Router()
         self.http_server = http_server.HttpServer(settings, self.router)
-        self.peers = peers.PeerNetwork(settings, self.incarnation)
+        self.peers = self._make_peers()
         self._plugins: dict[str, plugins.Plugin] = {}
         self._state = KernelState.STARTING
         self._drain_requested = eventlet.event.Event()
@@ -92,15 +92,16 @@
 
     def start(self) -> None:
         """Starts all plug-ins and listens."""
-        plugins.load_modules()
+        plugins.load_modules(self._select_modules())
         for name, cls in plugins.iter_in_order():
             self._plugins[name] = cls(self)
         for plugin in self._plugins.values():
             plugin.start()
-        self.peers.start()
+        if self.peers is not None:
+            self.peers.start()
         self.http_server.start()
         self._state = KernelState.SERVING
-        logger.info('serving as {}', self.settings.instance)
+        events.emit('started', instance=self.settings.instance)
 
     def run(self) -> None:
         """Serves until a planned stop is done."""
@@ -111,7 +112,7 @@
 
     def drain(self) -> None:
         """Announces the stop, then waits for the work in flight."""
-        logger.info('draining')
+        events.emit('stopping', instance=self.settings.instance)
         self._state = KernelState.DRAINING
         self.http_server.close_after_response()
         for function in self._leaving_handlers:
@@ -138,8 +139,27 @@
         self._state = KernelState.STOPPED
         for name, plugin in reversed(list(self._plugins.items())):
             self._attempt(name, plugin.stop)
-        self.peers.stop()
-        logger.info('stopped with {} requests in flight', self._count_work())
+        if self.peers is not None:
+            self.peers.stop()
+        events.emit(
+            'stopped',
+            instance=self.settings.instance,
+            in_flight=self._count_work(),
+        )
+
+    def _select_modules(self) -> tuple[str, ...]:
+        if self.settings.store is not None:
+            return plugins.STORE_MODULES
+        return plugins.STAND_ALONE_MODULES
+
+    def _make_peers(self) -> typing.Any:
+        """Daemons of a platform deployment meet in the store only."""
+        if self.settings.store is not None:
+            return None
+        # Imported here because a platform deployment saves its memory.
+        from lentildeal._internal.network import peers
+
+        return peers.PeerNetwork(self.settings, self.incarnation)
 
     def _count_work(self) -> int:
         extra = sum(function() for function in self._work_counters)
--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -20,6 +20,7 @@
 
 from lentildeal._internal import exceptions  # noqa: E402
 from lentildeal._internal.kernel import kernel  # noqa: E402
+from lentildeal._internal.logs import output  # noqa: E402
 from lentildeal._internal.settings import settings  # noqa: E402
 
 EXIT_OK = 0
@@ -48,7 +49,18 @@
 def _configure_log(loaded: settings.Settings) -> None:
     logger.remove()
     logger.configure(extra={'instance': loaded.instance})
-    logger.add(sys.stderr, level=loaded.logging.level, serialize=True)
+    if loaded.store is None:
+        logger.add(sys.stderr, level=loaded.logging.level, serialize=True)
+        return
+    # Each line is one JSON object already; a reader that is behind loses
+    # lines and holds nothing up.
+    logger.add(
+        output.NonBlockingOutput(sys.stdout.fileno()).write,
+        level=loaded.logging.level,
+        format='{message}',
+        colorize=False,
+        catch=False,
+    )
 
 
 if __name__ == '__main__':
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -9,7 +9,7 @@
     from lentildeal._internal.kernel import kernel as kernel_module
 
 # Importing a module runs its decorators. A new plug-in is one new line.
-MODULES = (
+STAND_ALONE_MODULES = (
     'lentildeal._internal.config.reader',
     'lentildeal._internal.config.publish',
     'lentildeal._internal.membership.plugin',
@@ -21,6 +21,17 @@
     'lentildeal._internal.reports.burn',
     'lentildeal._internal.reports.status',
 )
+# Plug-ins of a deployment on a platform with a store.
+STORE_MODULES = (
+    'lentildeal._internal.directory.plugin',
+    'lentildeal._internal.jobs.work_log',
+    'lentildeal._internal.jobs.duty_keeper',
+    'lentildeal._internal.jobs.plugin',
+    'lentildeal._internal.orders.rotation_plugin',
+    'lentildeal._internal.gateway.plugin',
+    'lentildeal._internal.platform.ingress',
+    'lentildeal._internal.reports.readiness',
+)
 
 
 class Plugin:
@@ -59,10 +70,10 @@
     return add
 
 
-def load_modules() -> None:
-    """Imports all plug-in modules."""
-    for module in MODULES:
-        importlib.import_module(module)
+def load_modules(names: typing.Iterable[str]) -> None:
+    """Imports plug-in modules, whose decorators register them."""
+    for name in names:
+        importlib.import_module(name)
 
 
 def iter_in_order() -> typing.Iterator[tuple[str, type[Plugin]]]:
--- /dev/null
+++ b/src/lentildeal/_internal/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Structured log lines for decisions."""
--- a/src/lentildeal/_internal/models/ids.py
+++ b/src/lentildeal/_internal/models/ids.py
@@ -23,6 +23,13 @@
 SampleId = typing.NewType('SampleId', str)
 RequestId = typing.NewType('RequestId', str)
 GrantId = typing.NewType('GrantId', str)
+RouteName = typing.NewType('RouteName', str)
+ReplicaId = typing.NewType('ReplicaId', str)
+JobId = typing.NewType('JobId', str)
+ItemId = typing.NewType('ItemId', str)
+DutyName = typing.NewType('DutyName', str)
+# Offset in the work log of the claim by which a duty is held.
+Term = typing.NewType('Term', int)
 
 NO_REVISION = Revision(-1)
 
--- a/src/lentildeal/_internal/network/http_client.py
+++ b/src/lentildeal/_internal/network/http_client.py
@@ -143,6 +143,10 @@
             )
             return HttpAnswer(answer.status, answer.headers, answer.read())
 
+    def close_idle(self) -> None:
+        """Closes all idle connections."""
+        self._pool.clear()
+
     def request_json(
         self,
         method: str,
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -36,6 +36,7 @@
         body: Whole body.
         socket: Connection of the caller, None in tests without one.
         target: Path and query as they were sent.
+        raw_headers: Names and values as they were sent.
     """
 
     method: str
@@ -46,6 +47,7 @@
     body: bytes = b''
     socket: typing.Any = None
     target: str = ''
+    raw_headers: tuple[tuple[str, str], ...] = ()
 
     def is_caller_gone(self) -> bool:
         """Whether the caller has closed the connection."""
@@ -161,9 +163,13 @@
     """Serves a router and counts the requests in flight."""
 
     def __init__(
-        self, settings: settings_module.Settings, router: Router
+        self,
+        settings: settings_module.Settings,
+        router: Router,
+        address: typing.Optional[str] = None,
     ) -> None:
         self._settings = settings
+        self._address = address or settings.http_address
         self._router = router
         self._in_flight = 0
         self._is_closing = False
@@ -185,7 +191,7 @@
 
     def start(self) -> None:
         """Listens and serves in a green thread."""
-        address = settings_module.split_address(self._settings.http_address)
+        address = settings_module.split_address(self._address)
         self._socket = eventlet.listen(address, backlog=1024)
         eventlet.spawn_n(
             eventlet.wsgi.server,
@@ -309,6 +315,7 @@
             body=body,
             socket=environ['eventlet.input'].get_socket(),
             target=_read_target(environ),
+            raw_headers=environ['headers_raw'],
         )
 
 
--- a/src/lentildeal/_internal/network/sse.py
+++ b/src/lentildeal/_internal/network/sse.py
@@ -5,6 +5,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+import typing
+
 from lentildeal._internal import exceptions
 
 END_MARKER = '[DONE]'
@@ -13,23 +16,60 @@
 MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 
+@dataclasses.dataclass(frozen=True)
+class Event:
+    """One event.
+
+    Attributes:
+        event_id: Identifier, None without one.
+        data: Lines of data, joined by line feeds.
+        fields: Other fields by name in lower case.
+    """
+
+    event_id: typing.Optional[str]
+    data: str
+    fields: dict[str, str]
+
+
 class EventParser:
     """Splits a byte stream into the data of its events."""
 
     def __init__(self) -> None:
         self._buffer = b''
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether a part of an event has come and not its end."""
+        return bool(self._buffer)
+
+    def feed_events(self, data: bytes) -> list[Event]:
+        """Adds bytes and returns the events now complete.
+
+        Raises:
+            exceptions.TruncatedAnswerError: An event is too long.
+        """
+        return [
+            event
+            for event in map(_read_event, self._split(data))
+            if event is not None
+        ]
+
     def feed(self, data: bytes) -> list[str]:
         """Adds bytes and returns the data of the events now complete.
 
         Raises:
             exceptions.TruncatedAnswerError: An event is too long.
         """
+        return [
+            data for data in map(_read_data, self._split(data)) if data is not None
+        ]
+
+    def _split(self, data: bytes) -> list[bytes]:
         self._buffer += data.replace(b'\r\n', b'\n')
         *events, self._buffer = self._buffer.split(b'\n\n')
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise exceptions.TruncatedAnswerError('an event is too long')
-        return [data for data in map(_read_data, events) if data is not None]
+        return events
 
 
 def format_event(data: str) -> bytes:
@@ -37,6 +77,23 @@
     return f'data: {data}\n\n'.encode()
 
 
+def _read_event(event: bytes) -> Event | None:
+    event_id, data, fields = None, [], {}
+    # Only a line feed ends a line; splitlines() knows more separators.
+    for line in event.decode('utf-8', 'surrogateescape').split('\n'):
+        name, _, value = line.partition(':')
+        value = value.removeprefix(' ')
+        if name == 'data':
+            data.append(value)
+        elif name == 'id':
+            event_id = value
+        elif name:
+            fields[name.lower()] = value
+    if event_id is None and not data:
+        return None
+    return Event(event_id, '\n'.join(data), fields)
+
+
 def _read_data(event: bytes) -> str | None:
     lines = [
         line[5:].removeprefix(' ')
--- /dev/null
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -0,0 +1,271 @@
+"""Connections to targets that pass requests on unchanged.
+
+``urllib3``'s pool normalizes paths and repeats nothing of this module's
+rules, so its connections are used below the pool: a request leaves with the
+very path and headers of the caller, and a connection is used again only if
+nothing is left on it.
+"""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import http.client
+import typing
+
+import urllib3
+import urllib3.connection
+import urllib3.util
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import ids
+from lentildeal._internal.utils import clock
+
+# Callers allow a new connection one second. Targets are one to three
+# milliseconds away, so a retransmitted first packet still fits.
+CONNECT_TIMEOUT_S = 1.0
+CHUNK_BYTES = 64 * 1024
+# Idle time of a connection whose target states none. Targets state whole
+# seconds, so one that states none closes within a second.
+DEFAULT_IDLE_S = 0.8
+# A connection is given up this long before its target closes it.
+IDLE_MARGIN_S = 0.5
+LONGEST_IDLE_S = 30.0
+
+Headers = typing.Sequence[tuple[str, str]]
+
+
+class _IdleConnection(typing.NamedTuple):
+    connection: urllib3.connection.HTTPConnection
+    usable_until_s: float
+
+
+class TargetResponse:
+    """A response whose body is read while it arrives."""
+
+    def __init__(
+        self,
+        pool: TargetConnections,
+        address: ids.ReplicaAddress,
+        connection: urllib3.connection.HTTPConnection,
+        response: urllib3.HTTPResponse,
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._connection = connection
+        self._response = response
+        self._is_finished = False
+        self.status: int = response.status
+        self.header_list = list(response.headers.items())
+        self.headers = {k.lower(): v for k, v in self.header_list}
+
+    @property
+    def has_marked_end(self) -> bool:
+        """Whether an early end of the body can be noticed."""
+        if self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
+            return True
+        return self._is_chunked or 'content-length' in self.headers
+
+    @property
+    def _is_chunked(self) -> bool:
+        return 'chunked' in self.headers.get('transfer-encoding', '').lower()
+
+    def read(self) -> bytes:
+        """Reads the rest of the body.
+
+        Raises:
+            exceptions.TruncatedAnswerError: The body is not complete.
+        """
+        return b''.join(self.iter_chunks())
+
+    def iter_chunks(self) -> typing.Iterator[bytes]:
+        """Yields the body as it arrives, then gives the connection back.
+
+        Raises:
+            exceptions.TruncatedAnswerError: The body is not complete.
+        """
+        is_whole = False
+        try:
+            yield from self._response.stream(CHUNK_BYTES)
+            is_whole = True
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+        ) as error:
+            raise exceptions.TruncatedAnswerError(
+                f'{self._address}: the answer ended early: {error}'
+            ) from error
+        finally:
+            if is_whole and self.has_marked_end:
+                self._release()
+            else:
+                self.close()
+
+    def abandon(self) -> None:
+        """Closes the connection unless the whole answer was read."""
+        if not self._is_finished:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the connection, which tells the target to stop."""
+        self._is_finished = True
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self._response.close()
+        self._connection.close()
+
+    def _release(self) -> None:
+        self._is_finished = True
+        if 'close' in self.headers.get('connection', '').lower():
+            self.close()
+            return
+        self._pool.put_back(
+            self._address, self._connection, _read_idle_s(self.headers)
+        )
+
+
+class TargetConnections:
+    """Idle connections to all targets of this daemon."""
+
+    def __init__(self) -> None:
+        self._idle: dict[
+            ids.ReplicaAddress, collections.deque[_IdleConnection]
+        ] = collections.defaultdict(collections.deque)
+
+    def send(
+        self,
+        address: ids.ReplicaAddress,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        *,
+        silence_s: float,
+    ) -> TargetResponse:
+        """Sends a request and waits for the head of its response.
+
+        Args:
+            address: Where the target listens.
+            method: HTTP method.
+            target: Path and query, sent as they are.
+            headers: Headers, sent as they are.
+            body: Whole body.
+            silence_s: Longest silence of the target, in seconds.
+
+        Raises:
+            exceptions.NotRunError: No byte was sent.
+            exceptions.MayHaveRunError: Bytes were sent and no head came.
+        """
+        connection = self._take(address, silence_s)
+        is_answered = False
+        try:
+            connection.timeout = silence_s
+            if connection.sock is not None:
+                connection.sock.settimeout(silence_s)
+            _write_request(connection, method, target, headers, body)
+            response = connection.getresponse()
+            is_answered = True
+        except (
+            urllib3.exceptions.HTTPError,
+            http.client.HTTPException,
+            OSError,
+            ValueError,
+        ) as error:
+            raise exceptions.MayHaveRunError(
+                f'{method} {address}: no answer: {error!r}'
+            ) from error
+        finally:
+            if not is_answered:
+                connection.close()
+        return TargetResponse(self, address, connection, response)
+
+    def put_back(
+        self,
+        address: ids.ReplicaAddress,
+        connection: urllib3.connection.HTTPConnection,
+        idle_s: float,
+    ) -> None:
+        """Keeps a connection on which a whole answer has been read."""
+        if idle_s <= 0 or not connection.is_connected:
+            connection.close()
+            return
+        self._idle[address].append(
+            _IdleConnection(connection, clock.monotonic_s() + idle_s)
+        )
+
+    def forget(self, address: ids.ReplicaAddress) -> None:
+        """Closes the idle connections to a target."""
+        for idle in self._idle.pop(address, ()):
+            idle.connection.close()
+
+    def close_overdue(self) -> None:
+        """Closes connections that have been idle for too long."""
+        now_s = clock.monotonic_s()
+        for address, queue in list(self._idle.items()):
+            while queue and queue[0].usable_until_s < now_s:
+                queue.popleft().connection.close()
+            if not queue:
+                del self._idle[address]
+
+    def _take(
+        self, address: ids.ReplicaAddress, silence_s: float
+    ) -> urllib3.connection.HTTPConnection:
+        queue = self._idle.get(address)
+        while queue:
+            idle = queue.pop()
+            is_fresh = idle.usable_until_s > clock.monotonic_s()
+            # Bytes on an idle connection belong to no request of ours.
+            if is_fresh and idle.connection.is_connected:
+                return idle.connection
+            idle.connection.close()
+        return self._connect(address, silence_s)
+
+    def _connect(
+        self, address: ids.ReplicaAddress, silence_s: float
+    ) -> urllib3.connection.HTTPConnection:
+        host, _, port = address.rpartition(':')
+        connection = urllib3.connection.HTTPConnection(
+            host, int(port), timeout=min(CONNECT_TIMEOUT_S, silence_s)
+        )
+        try:
+            connection.connect()
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            connection.close()
+            raise exceptions.NotRunError(
+                f'{address}: no connection: {error}', cause='target_down'
+            ) from error
+        return connection
+
+
+def _write_request(
+    connection: urllib3.connection.HTTPConnection,
+    method: str,
+    target: str,
+    headers: Headers,
+    body: bytes,
+) -> None:
+    fields = urllib3.HTTPHeaderDict()
+    for name, value in headers:
+        fields.add(name, value)
+    # Nothing is added to what the caller sent.
+    for name in ('User-Agent', 'Accept-Encoding'):
+        if name not in fields:
+            fields.add(name, urllib3.util.SKIP_HEADER)
+    connection.request(
+        method,
+        target,
+        body=body or None,
+        headers=fields,
+        preload_content=False,
+        decode_content=False,
+        enforce_content_length=True,
+    )
+
+
+def _read_idle_s(headers: typing.Mapping[str, str]) -> float:
+    for part in headers.get('keep-alive', '').split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.isdigit():
+            return min(LONGEST_IDLE_S, int(value) - IDLE_MARGIN_S)
+    return DEFAULT_IDLE_S
--- /dev/null
+++ b/src/lentildeal/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter of the users' platform: names, formats and calls."""
--- /dev/null
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -0,0 +1,174 @@
+"""The users' platform as the product sees it."""
+
+from __future__ import annotations
+
+import json
+import typing
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.network import http_client
+from lentildeal._internal.platform import documents
+from lentildeal._internal.platform import names
+from lentildeal._internal.platform import store
+from lentildeal._internal.settings import settings as settings_module
+
+# Replicas answer reports and orders from memory, within milliseconds.
+CONTROL_TIMEOUT_S = 1.0
+
+_ORDER_OUTCOMES = {
+    202: base.OrderOutcome.ACCEPTED,
+    200: base.OrderOutcome.HOLDS_ALREADY,
+    409: base.OrderOutcome.CONFLICT,
+    412: base.OrderOutcome.FENCED,
+}
+
+
+@base.platforms.register('platform')
+class UsersPlatform(base.Platform):
+    """Store, directory and replicas of the users' platform."""
+
+    directory_streams = (names.OPERATOR_STREAM, names.REPLICA_STREAM)
+
+    def __init__(self, settings: settings_module.Settings) -> None:
+        self.store = store.PlatformStore(settings.store)
+        self._client = http_client.HttpClient()
+
+    def decode_change(
+        self, stream: str, record: base.KeyedRecord
+    ) -> typing.Optional[deployment.Change]:
+        """See the base class."""
+        if stream == names.REPLICA_STREAM:
+            return _decode_replica_change(record)
+        if record.value is None:
+            return None
+        if record.key == names.TEXT_KEY:
+            document = store.decode_json(record.value)
+            return deployment.TextChange(documents.decode_text(document))
+        if record.key.startswith(names.VERSION_KEY_PREFIX):
+            return documents.decode_version(store.decode_json(record.value))
+        return None
+
+    def make_headers(
+        self,
+        replica: deployment.Replica,
+        *,
+        request_id: typing.Optional[str] = None,
+        deadline_s: typing.Optional[float] = None,
+        resume_after: typing.Optional[str] = None,
+    ) -> list[tuple[str, str]]:
+        """See the base class."""
+        headers = [(names.EXPECTED_REPLICA, replica.replica_id)]
+        if request_id is not None:
+            headers.append((names.REQUEST_ID, request_id))
+        if deadline_s is not None:
+            headers.append((names.DEADLINE, str(int(deadline_s * 1000))))
+        if resume_after is not None:
+            headers.append((names.LAST_EVENT_ID, resume_after))
+        return headers
+
+    def read_answer(
+        self, status: int, headers: typing.Mapping[str, str]
+    ) -> base.AnswerFacts:
+        """See the base class."""
+        is_not_run = names.NOT_EXECUTED.lower() in headers or status == 421
+        return base.AnswerFacts(
+            request_id=headers.get(names.REQUEST_ID.lower()),
+            is_not_run=is_not_run,
+            version=_read_version(headers.get(names.VERSIONS.lower())),
+            load=_read_load(headers.get(names.REPLICA_LOAD.lower())),
+        )
+
+    def read_event_version(
+        self, fields: typing.Mapping[str, str]
+    ) -> typing.Optional[ids.Version]:
+        """See the base class."""
+        return _read_version(fields.get(names.VERSIONS.lower()))
+
+    def get_report(self, replica: deployment.Replica) -> base.ReplicaReport:
+        """See the base class."""
+        answer = self._call(replica, 'GET', names.REPORT_PATH)
+        if answer.status != 200:
+            raise exceptions.PlatformError(
+                f'{replica.replica_id} answered a report with {answer.status}'
+            )
+        report = answer.read_json()
+        try:
+            return base.ReplicaReport(
+                documents.decode_models(report['Models']),
+                bool(report['Busy']),
+                # Not the sequence of entries: counts accepted orders.
+                int(report['Sequence']),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise exceptions.UnreadableRecordError(
+                f'the report of {replica.replica_id}: {error!r}'
+            ) from error
+
+    def order_version(
+        self, replica: deployment.Replica, order: base.VersionOrder
+    ) -> base.OrderOutcome:
+        """See the base class."""
+        body = {
+            'Op': 'Version',
+            'Model': order.model,
+            'Version': order.version,
+            'Mode': 'retain' if order.keeps_runs else 'wait',
+            'Holder': order.holder,
+            'Fence': order.fence,
+            'Expect': order.expected_orders,
+        }
+        answer = self._call(replica, 'POST', names.ORDER_PATH, body)
+        return _ORDER_OUTCOMES.get(answer.status, base.OrderOutcome.REFUSED)
+
+    def _call(
+        self,
+        replica: deployment.Replica,
+        method: str,
+        path: str,
+        value: typing.Any = None,
+    ) -> http_client.HttpAnswer:
+        headers = {names.EXPECTED_REPLICA: replica.replica_id}
+        body = None
+        if value is not None:
+            body = json.dumps(value).encode()
+            headers['Content-Type'] = 'application/json'
+        try:
+            return self._client.request(
+                method,
+                f'http://{replica.address}{path}',
+                timeout_s=CONTROL_TIMEOUT_S,
+                body=body,
+                headers=headers,
+            )
+        except (exceptions.NotRunError, exceptions.MayHaveRunError) as error:
+            raise exceptions.PlatformError(error.message) from error
+
+
+def _decode_replica_change(
+    record: base.KeyedRecord,
+) -> deployment.ReplicaChange:
+    replica_id = ids.ReplicaId(record.key)
+    if record.value is None:
+        return deployment.ReplicaChange(replica_id, None)
+    document = store.decode_json(record.value)
+    return deployment.ReplicaChange(
+        replica_id, documents.decode_replica(replica_id, document)
+    )
+
+
+def _read_version(value: typing.Optional[str]) -> typing.Optional[ids.Version]:
+    if value is None or not value.strip().isdigit():
+        return None
+    return ids.Version(int(value))
+
+
+def _read_load(
+    value: typing.Optional[str],
+) -> typing.Optional[base.ReplicaLoad]:
+    parts = (value or '').split(',')
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    return base.ReplicaLoad(*map(int, parts))
--- /dev/null
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -0,0 +1,155 @@
+"""Decoding of what operators, trainers and replicas write to the store."""
+
+from __future__ import annotations
+
+import typing
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+
+MS = 1000.0
+
+_STATES = {
+    'ready': deployment.ReplicaState.READY,
+    'draining': deployment.ReplicaState.LEAVING,
+}
+
+
+# Kinds of routes that are not known here are treated as the strictest one.
+_KINDS = {kind.value: kind for kind in deployment.RouteKind}
+
+
+def decode_text(document: typing.Any) -> deployment.PublishedText:
+    """Decodes the published text.
+
+    Raises:
+        exceptions.UnreadableRecordError: A field is missing or wrong.
+    """
+    try:
+        limits = document.get('Limits') or {}
+        return deployment.PublishedText(
+            version=_whole(document['Version']),
+            routes=tuple(_decode_route(r) for r in document['Routes']),
+            services={
+                ids.ServiceName(s['Name']): _decode_service(s)
+                for s in document['Services']
+            },
+            limits=deployment.IngressLimits(
+                limits.get('MaxHeaderBytes', 16 * 1024),
+                limits.get('MaxBodyBytes', 32 * 1024 * 1024),
+            ),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise exceptions.UnreadableRecordError(
+            f'the published text: {error!r}'
+        ) from error
+
+
+def decode_version(document: typing.Any) -> deployment.VersionNamed:
+    """Decodes a version that a trainer names.
+
+    Raises:
+        exceptions.UnreadableRecordError: A field is missing or wrong.
+    """
+    try:
+        return deployment.VersionNamed(
+            ids.ModelName(_text(document['Model'])),
+            ids.Version(_whole(document['Version'])),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise exceptions.UnreadableRecordError(
+            f'a named version: {error!r}'
+        ) from error
+
+
+def decode_replica(
+    replica_id: ids.ReplicaId, document: typing.Any
+) -> deployment.Replica:
+    """Decodes the entry of a replica.
+
+    Raises:
+        exceptions.UnreadableRecordError: A field is missing or wrong.
+    """
+    try:
+        address = _text(document['Address'])
+        host, _, port = address.rpartition(':')
+        if not host or not port.isdigit():
+            raise ValueError(f'address {address!r}')
+        return deployment.Replica(
+            replica_id=replica_id,
+            service=ids.ServiceName(_text(document['Service'])),
+            address=ids.ReplicaAddress(address),
+            failure_domain=ids.FailureDomain(_text(document['Zone'])),
+            slots=_whole(document['Slots']),
+            # An unknown state raises: such an entry names no replica.
+            state=_STATES[document['State']],
+            versions=decode_models(document.get('Models') or []),
+            started_ms=_whole(document.get('born', 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise exceptions.UnreadableRecordError(
+            f'the entry of replica {replica_id}: {error!r}'
+        ) from error
+
+
+def decode_models(
+    entries: list,
+) -> dict[ids.ModelName, ids.Version]:
+    """Decodes the versions of the models that a replica holds."""
+    return {
+        ids.ModelName(_text(entry['Name'])): ids.Version(
+            _whole(entry['Version'])
+        )
+        for entry in entries
+    }
+
+
+def _decode_route(route: dict) -> deployment.Route:
+    shares = route.get('TrafficSplit') or [
+        {'Service': route['Service'], 'Weight': 1}
+    ]
+    return deployment.Route(
+        name=ids.RouteName(route['Name']),
+        host=route['Host'].lower(),
+        path_prefix=route['PathPrefix'],
+        kind=_KINDS.get(route['Kind'], deployment.RouteKind.UNSAFE),
+        shares=tuple(
+            deployment.Share(ids.ServiceName(s['Service']), s['Weight'])
+            for s in shares
+        ),
+        timeout_s=route.get('TimeoutMs', 0) / MS,
+        objective_s=route.get('TargetLatencyMs', 0) / MS,
+        max_attempts=route.get('MaxAttempts', 1),
+        # All results of a job are due after this time.
+        deadline_s=route.get('DeadlineMs', 0) / MS,
+        # Not how long records are kept: an item may be given up after this.
+        give_up_s=float(route.get('RetentionS', 0)),
+        is_single_version=bool(route.get('SingleVersion', False)),
+        is_resumable=bool(route.get('Resumable', False)),
+    )
+
+
+def _decode_service(service: dict) -> deployment.Service:
+    engine = service.get('Engine') or {}
+    return deployment.Service(
+        name=ids.ServiceName(service['Name']),
+        models=tuple(
+            ids.ModelName(m['Name']) for m in engine.get('Models', [])
+        ),
+        slots=engine.get('Slots', 0),
+        max_connections=service.get('MaxConnections', 0),
+        tokens_per_event=engine.get('Stride') or 1,
+    )
+
+
+def _whole(value: typing.Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f'{value!r} is no whole number')
+    return value
+
+
+def _text(value: typing.Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f'{value!r} is no text')
+    return value
--- /dev/null
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -0,0 +1,239 @@
+"""Plug-in ``ingress``: the calls of the platform's clients.
+
+Decodes requests into the product's types and encodes its answers; everything
+in between is decided elsewhere.
+"""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import typing
+import urllib.parse
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.gateway import calls
+from lentildeal._internal.jobs import plugin as jobs_plugin
+from lentildeal._internal.kernel import plugins
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.models import jobs
+from lentildeal._internal.network import http_server
+from lentildeal._internal.network import problems
+from lentildeal._internal.platform import names
+from lentildeal._internal.utils import clock
+
+# Waiting time of a client that names none, in milliseconds.
+DEFAULT_DEADLINE_MS = 10_000
+# Longest time for which a read of results is kept waiting, in milliseconds.
+LONGEST_WAIT_MS = 1_000
+
+_STATES = {
+    jobs.ResultState.DONE: 'done',
+    jobs.ResultState.GIVEN_UP: 'down',
+}
+
+
+@plugins.register('ingress', after=('gateway', 'jobs', 'readiness'))
+class Ingress(plugins.Plugin):
+    """Routes of the platform's clients."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self._gateway = kernel.plugin('gateway')
+        self._jobs = kernel.plugin('jobs')
+
+    def start(self) -> None:
+        """See the base class."""
+        readiness = self._kernel.plugin('readiness')
+        readiness.router.add('GET', names.READY_PATH, readiness.answer_check)
+        for method, path, handler in (
+            ('GET', names.JOB_PATH, self._read_job),
+            ('GET', names.ITEM_PATH, self._read_item),
+            ('DELETE', names.JOB_PATH, self._end_job),
+            ('*', '/{path*}', self._take_request),
+        ):
+            self._kernel.router.add(method, path, _answer_errors(handler))
+
+    def _take_request(
+        self, request: http_server.Request
+    ) -> http_server.Response:
+        host = _read_host(request)
+        path = request.target.partition('?')[0]
+        route = self._gateway.find_route(host, path)
+        if route.kind is deployment.RouteKind.ROLLOUT:
+            if request.method != 'POST':
+                raise exceptions.UnknownRouteError(
+                    f'{request.method} on the route of a batch job'
+                )
+            self._jobs.submit(decode_job(request, host, path))
+            return http_server.Response(202)
+        answer = self._gateway.forward(route, decode_call(request, host, path))
+        return http_server.Response(
+            answer.status, dict(answer.headers), answer.body
+        )
+
+    def _read_job(self, request: http_server.Request) -> http_server.Response:
+        after = _read_number(request.query.get('After', '0'), 'After')
+        wait_ms = _read_number(
+            request.headers.get(names.WAIT.lower(), '0'), names.WAIT
+        )
+        page = self._jobs.read(
+            ids.JobId(request.parameters['job']),
+            after,
+            min(wait_ms, LONGEST_WAIT_MS) / 1000,
+        )
+        return http_server.json_response(encode_page(page))
+
+    def _read_item(self, request: http_server.Request) -> http_server.Response:
+        body = self._jobs.read_body(
+            ids.JobId(request.parameters['job']),
+            ids.ItemId(request.query.get('Id', '')),
+        )
+        if body is None:
+            raise exceptions.NotFoundError('the job has no such item')
+        return http_server.Response(
+            200, {'Content-Type': 'application/octet-stream'}, body
+        )
+
+    def _end_job(self, request: http_server.Request) -> http_server.Response:
+        self._jobs.end(ids.JobId(request.parameters['job']))
+        return http_server.json_response({})
+
+
+def decode_call(
+    request: http_server.Request, host: str, path: str
+) -> calls.LiveCall:
+    """Decodes a request that is passed on to a replica.
+
+    Raises:
+        exceptions.BadRequestError: A header is missing or wrong.
+    """
+    deadline_ms = _read_number(
+        request.headers.get(names.DEADLINE.lower(), str(DEFAULT_DEADLINE_MS)),
+        names.DEADLINE,
+    )
+    # The daemon sets these itself for each attempt.
+    own = {names.DEADLINE.lower(), names.EXPECTED_REPLICA.lower()}
+    return calls.LiveCall(
+        request_id=request.headers.get(names.REQUEST_ID.lower(), ''),
+        method=request.method,
+        host=host,
+        path=path,
+        target=request.target,
+        headers=tuple(
+            (name, value)
+            for name, value in request.raw_headers
+            if name.lower() not in own
+        ),
+        body=request.body,
+        deadline=clock.Deadline(deadline_ms / 1000),
+        is_caller_gone=request.is_caller_gone,
+    )
+
+
+def decode_job(
+    request: http_server.Request, host: str, path: str
+) -> jobs.Job:
+    """Decodes a submission.
+
+    Raises:
+        exceptions.BadRequestError: A field is missing or wrong; names it.
+    """
+    job_id = request.headers.get(names.REQUEST_ID.lower(), '')
+    if not job_id:
+        raise exceptions.BadRequestError(f'{names.REQUEST_ID} is missing')
+    document = request.read_json()
+    try:
+        entries = document['Entries']
+        items = tuple(_decode_item(entry) for entry in entries)
+        if not items or len({i.item_id for i in items}) < len(items):
+            raise ValueError('Entries: no items, or an id comes twice')
+        return jobs.Job(
+            jobs.JobHead(
+                job_id=ids.JobId(job_id),
+                host=host,
+                path=path,
+                model=ids.ModelName(document['Model']),
+                step=int(document['Step']),
+                min_version=ids.Version(int(document['MinVersion'])),
+                wanted_groups=int(document['BatchGroups']),
+                submitted_ms=int(clock.unix_s() * 1000),
+                item_count=len(items),
+            ),
+            items,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise exceptions.BadRequestError(
+            f'job {job_id} is not valid: {error!r}'
+        ) from error
+
+
+def encode_page(page: jobs_plugin.JobPage) -> dict[str, typing.Any]:
+    """Encodes a page of results."""
+    return {
+        'Total': page.total,
+        # Position to read on from, not a token.
+        'NextToken': page.next,
+        'Results': [
+            {
+                'Id': result.item_id,
+                'State': _STATES[result.state],
+                'Text': result.text,
+                'Versions': list(result.versions),
+            }
+            for result in page.results
+        ],
+    }
+
+
+def _decode_item(entry: dict) -> jobs.Item:
+    item_id = entry['Id']
+    try:
+        headers = {str(k): str(v) for k, v in entry['Headers'].items()}
+        # Prompt tokens and most output tokens; the hint is closer.
+        usage = headers.get(names.TOKEN_USAGE, '0,0').split(',')
+        hint = headers.get(names.LENGTH_HINT, '')
+        return jobs.Item(
+            item_id=ids.ItemId(item_id),
+            group=ids.GroupId(entry.get('Group') or item_id),
+            path=entry['Path'],
+            headers=headers,
+            body=base64.b64decode(entry.get('Body') or '', validate=True),
+            expected_tokens=int(hint if hint.isdigit() else usage[-1]),
+        )
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        binascii.Error,
+    ) as error:
+        raise ValueError(f'item {item_id!r}: {error!r}') from error
+
+
+def _read_host(request: http_server.Request) -> str:
+    return urllib.parse.urlsplit(
+        f'//{request.headers.get("host", "")}'
+    ).netloc.rsplit(':', 1)[0].lower()
+
+
+def _read_number(value: str, name: str) -> int:
+    if not value.strip().isdigit():
+        raise exceptions.BadRequestError(f'{name} is no number: {value!r}')
+    return int(value)
+
+
+def _answer_errors(handler: http_server.Handler) -> http_server.Handler:
+    """Adds what the platform's clients read besides the status."""
+
+    def answer(request: http_server.Request) -> http_server.Response:
+        try:
+            return handler(request)
+        except exceptions.NotRunError as error:
+            response = problems.to_response(error)
+            # The platform's clients take fractions of a second.
+            response.headers[names.RETRY_AFTER] = str(error.retry_after_s)
+            return response
+
+    return answer
--- /dev/null
+++ b/src/lentildeal/_internal/platform/names.py
@@ -0,0 +1,40 @@
+"""Names of the users' platform: headers, paths, fields and keys.
+
+Fields whose name says little are explained where they are decoded.
+"""
+
+# Headers.
+REQUEST_ID = 'Lentildeal-Request-Id'
+DEADLINE = 'Lentildeal-Deadline-Ms'
+EXPECTED_REPLICA = 'Lentildeal-Expect-Instance'
+REPLICA_ID = 'Lentildeal-Replica-Id'
+REPLICA_LOAD = 'Lentildeal-Replica-Load'
+NOT_EXECUTED = 'Lentildeal-Not-Executed'
+VERSIONS = 'Lentildeal-Weight-Versions'
+TOKEN_USAGE = 'Lentildeal-Token-Usage'
+LENGTH_HINT = 'Lentildeal-Length-Hint'
+MODEL = 'Lentildeal-Model'
+WAIT = 'Lentildeal-Wait-Ms'
+STAMP = 'Lentildeal-Response-Stamp'
+LAST_EVENT_ID = 'Last-Event-Id'
+RETRY_AFTER = 'Retry-After'
+
+# Calls that arrive at the daemon.
+READY_PATH = '/ready'
+JOB_PATH = '/lots/{job}'
+ITEM_PATH = '/items/{job}'
+
+# Calls to replicas.
+REPORT_PATH = '/report'
+ORDER_PATH = '/order'
+
+# Calls to the store.
+APPEND_PATH = '/log-append'
+READ_PATH = '/log-read'
+NEWEST_PATH = '/log-newest'
+
+# Keyed streams that the platform, its operators and replicas write.
+OPERATOR_STREAM = 'keyed.op'
+REPLICA_STREAM = 'keyed.servers'
+TEXT_KEY = 'config'
+VERSION_KEY_PREFIX = 'version/'
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -126,6 +126,41 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Store:
+    """The platform's store, and what its operators promise callers."""
+
+    address: str = options.option('Address "ip:port" of the store.')
+    adapter: str = options.option('Registered platform adapter.', 'platform')
+    record_bytes: int = options.option(
+        'Largest record, in bytes.', 262_144, minimum=1024
+    )
+    call_bytes: int = options.option(
+        'Most bytes of records in one append.', 2_097_152, minimum=1024
+    )
+    retention_s: float = options.option(
+        'Time for which the store keeps a record, in seconds.', 300, minimum=1
+    )
+    status_s: float = options.option(
+        'Time for which results can be read again, in seconds.',
+        120,
+        minimum=1,
+    )
+    lease_ms: int = options.option(
+        'Shortest time between orders of two holders to one replica.',
+        3000,
+        minimum=1,
+    )
+    drain_ms: int = options.option(
+        'Time within which a leaving replica gets no more work.',
+        2000,
+        minimum=1,
+    )
+    requires_fence: bool = options.option(
+        'Whether replicas refuse orders with an older fencing token.', True
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """The settings file of a daemon."""
@@ -137,8 +172,23 @@
     http_address: str = options.option(
         'Address "ip:port" for callers, trainers and operators.'
     )
-    peer_address: str = options.option('Address "ip:port" for other daemons.')
-    platform: Platform = options.option("The platform's services.")
+    peer_address: typing.Optional[str] = options.option(
+        'Address "ip:port" for other daemons; required without "store".', None
+    )
+    platform: typing.Optional[Platform] = options.option(
+        'Services of a stand-alone deployment; required without "store".',
+        None,
+    )
+    store: typing.Optional[Store] = options.option(
+        'Store of a platform deployment, in place of "platform".', None
+    )
+    ready_address: typing.Optional[str] = options.option(
+        'Address "ip:port" of readiness checks; "http_address" without it.',
+        None,
+    )
+    metrics_address: typing.Optional[str] = options.option(
+        'Address "ip:port" of metrics; "http_address" without it.', None
+    )
     peer_bind_address: typing.Optional[str] = options.option(
         'Address "ip:port" to listen on for other daemons, if they reach'
         ' it under another one, as through address translation.',
@@ -152,6 +202,15 @@
     logging: Logging = options.option('Log output.', factory=Logging)
 
 
+_ADDRESSES = (
+    'http_address',
+    'peer_address',
+    'peer_bind_address',
+    'ready_address',
+    'metrics_address',
+)
+
+
 def load(path: pathlib.Path) -> Settings:
     """Reads and checks a settings file.
 
@@ -195,8 +254,25 @@
     return host.strip('[]'), number
 
 
+def _check_deployment(settings: Settings, source: str) -> None:
+    if settings.store is not None and settings.platform is not None:
+        raise exceptions.SettingsError(
+            f'{source}: both "store" and "platform" are set',
+            remedy='keep "store" on a platform, "platform" without one',
+        )
+    if settings.store is not None:
+        return
+    for name in ('platform', 'peer_address'):
+        if getattr(settings, name) is None:
+            raise exceptions.SettingsError(
+                f'{source}: required key "{name}" is missing',
+                remedy=f'add "{name}", or "store" on a platform',
+            )
+
+
 def _check(settings: Settings, source: str) -> None:
-    for name in ('http_address', 'peer_address', 'peer_bind_address'):
+    _check_deployment(settings, source)
+    for name in _ADDRESSES:
         address = getattr(settings, name)
         if address is None:
             continue
--- a/src/lentildeal/_internal/utils/clock.py
+++ b/src/lentildeal/_internal/utils/clock.py
@@ -8,6 +8,20 @@
     return time.monotonic()
 
 
+def boottime_s() -> float:
+    """Seconds of a clock that also runs while the instance is suspended.
+
+    Leases need it: another daemon takes a duty over during a suspension, of
+    which the monotonic clock shows nothing.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_s() -> float:
+    """Time of day, in seconds; only for ages of seconds and more."""
+    return time.time()
+
+
 class Deadline:
     """A point in time by which an answer is wanted."""
 
