Order the named versions on half of the replicas in turns

Change: the holder of a service's order duty loads each named version on a share of the replicas, those whose version is not used any more.

--- a/src/lentildeal/_internal/adapters/base.py
+++ b/src/lentildeal/_internal/adapters/base.py
@@ -269,8 +269,7 @@
 
 
 class RecordStore(abc.ABC):
-    """Streams of bytes with offsets, and streams that keep the newest
-    record of each key."""
+    """Streams of bytes, and streams that keep the newest record of a key."""
 
     @abc.abstractmethod
     def append(
@@ -301,9 +300,7 @@
         """
 
     @abc.abstractmethod
-    def read_newest(
-        self, stream: str
-    ) -> tuple[list[KeyedRecord], ids.Offset]:
+    def read_newest(self, stream: str) -> tuple[list[KeyedRecord], ids.Offset]:
         """Reads the newest record of each key.
 
         Returns:
--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -24,9 +24,7 @@
 class KeyedSink(typing.Protocol):
     """What takes in the records of a keyed stream."""
 
-    def take_all(
-        self, stream: str, records: list[base.KeyedRecord]
-    ) -> None:
+    def take_all(self, stream: str, records: list[base.KeyedRecord]) -> None:
         """Takes in the newest record of every key."""
 
     def take(self, stream: str, record: base.KeyedRecord) -> None:
--- a/src/lentildeal/_internal/directory/replicas.py
+++ b/src/lentildeal/_internal/directory/replicas.py
@@ -44,9 +44,7 @@
         self._expire()
         return self._replicas.get(replica_id)
 
-    def list_ready(
-        self, service: ids.ServiceName
-    ) -> list[deployment.Replica]:
+    def list_ready(self, service: ids.ServiceName) -> list[deployment.Replica]:
         """Replicas of a service that take new work, by id."""
         self._expire()
         found = [
--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -73,6 +73,5 @@
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in CONNECTION_HEADERS
-        and name.lower() not in named
+        if name.lower() not in CONNECTION_HEADERS and name.lower() not in named
     )
--- a/src/lentildeal/_internal/jobs/duty_keeper.py
+++ b/src/lentildeal/_internal/jobs/duty_keeper.py
@@ -48,6 +48,7 @@
 class _Lease:
     term: ids.Term
     until_s: float
+    orders_from_s: float
 
 
 @plugins.register('duties', after=('work_log',))
@@ -79,15 +80,24 @@
             return None
         return lease.term
 
+    def may_order(self, duty: ids.DutyName) -> bool:
+        """Whether orders may be given under a duty.
+
+        Two holders must not order within the lease time of the platform,
+        which is longer than the silence after which a duty is claimed.
+        """
+        lease = self._leases.get(duty)
+        return (
+            lease is not None
+            and self.find_term(duty) is not None
+            and clock.boottime_s() >= lease.orders_from_s
+        )
+
     def is_taken_over(self, duty: ids.DutyName) -> bool:
         """Whether the log shows that another daemon holds a duty."""
         state = self._log.duties.get(duty)
         return state.holder is not None and not self._is_mine(duty)
 
-    def last_seen_s(self, duty: ids.DutyName) -> float:
-        """When the log last showed a holder, by the clock of suspension."""
-        return self._log.duties.get(duty).seen_s
-
     def resign_all(self) -> None:
         """Gives all duties back, before a planned stop."""
         self._is_leaving = True
@@ -99,9 +109,7 @@
         lease = self._leases.pop(duty, None)
         if lease is None:
             return
-        events.emit(
-            'duty_lost', duty=duty, term=lease.term, reason=reason
-        )
+        events.emit('duty_lost', duty=duty, term=lease.term, reason=reason)
         self._resigned.add(lease.term)
         self._log.enqueue(records.Resignation(duty, lease.term))
         self.changed.set()
@@ -177,7 +185,9 @@
         term = self._log.duties.get(duty).term
         is_known = duty in self._leases or term in self._resigned
         if self._is_mine(duty) and not is_known:
-            self._leases[duty] = _Lease(term, 0.0)
+            self._leases[duty] = _Lease(
+                term, 0.0, clock.boottime_s() + self._orders_wait_s()
+            )
             self._renewed_s = 0.0
 
     def _is_vacant(self, duty: ids.DutyName) -> bool:
@@ -191,11 +201,15 @@
     def _claim_delay_s(self, duty: ids.DutyName) -> float:
         state = self._log.duties.get(duty)
         share = hashing.hash_text(duty, self._instance, str(state.term))
-        return (
-            CLAIM_SPREAD_S * (share / 2**64)
-            + CLAIM_DELAY_PER_DUTY_S * len(self._leases)
+        return CLAIM_SPREAD_S * (share / 2**64) + CLAIM_DELAY_PER_DUTY_S * len(
+            self._leases
         )
 
+    def _orders_wait_s(self) -> float:
+        """Time after a claim until the previous holder's turn is over."""
+        lease_s = self._kernel.settings.store.lease_ms / 1000
+        return max(0.0, lease_s - TIMEOUT_S)
+
     def _claim(self, duty: ids.DutyName) -> None:
         previous = self._log.duties.get(duty).holder
         claim = self._log.duties.make_claim(
@@ -211,7 +225,12 @@
             return
         state = self._log.duties.get(duty)
         if self._is_mine(duty):
-            self._leases[duty] = _Lease(state.term, sent_s + LEASE_S)
+            wait_s = 0.0
+            if previous not in (None, self._instance):
+                wait_s = self._orders_wait_s()
+            self._leases[duty] = _Lease(
+                state.term, sent_s + LEASE_S, sent_s + wait_s
+            )
             events.emit(
                 'duty_claimed', duty=duty, term=state.term, previous=previous
             )
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -54,9 +54,7 @@
     for index, item in enumerate(load_items(work_log, entry)):
         if entry.is_listed(index):
             continue
-        is_carried = work_log.table.is_carried(
-            item.item_id, entry.head.job_id
-        )
+        is_carried = work_log.table.is_carried(item.item_id, entry.head.job_id)
         saved = entry.checkpoints.get(index)
         if saved is None and is_carried:
             saved = work_log.table.find_checkpoint(item.item_id)
@@ -84,9 +82,7 @@
     work_log: work_log_module.WorkLog, saved: table.SavedProgress
 ) -> jobs.Progress:
     record = work_log.read_record(saved.place)
-    return jobs.Progress(
-        record.events, record.last_event_id, record.versions
-    )
+    return jobs.Progress(record.events, record.last_event_id, record.versions)
 
 
 def _tokens_per_event(
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -248,9 +248,7 @@
                     listed.versions,
                 )
             )
-        return JobPage(
-            entry.head.item_count, after + len(found), tuple(found)
-        )
+        return JobPage(entry.head.item_count, after + len(found), tuple(found))
 
 
 def _make_unsure(error: exceptions.LentildealError) -> exceptions.NotRunError:
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -151,9 +151,7 @@
                     self._log, self._directory.text, job.entry
                 )
             except exceptions.PlatformError as error:
-                events.emit(
-                    'append_retried', records=0, reason=error.message
-                )
+                events.emit('append_retried', records=0, reason=error.message)
                 eventlet.sleep(OPEN_RETRY_S)
                 continue
             self._reuse_texts(job, loaded)
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -113,9 +113,7 @@
         self._kernel.spawn('work-log-append', self._append_queued)
         self._kernel.spawn('work-log-forget', self._forget_old)
 
-    def append(
-        self, batch: typing.Sequence[records.Record]
-    ) -> ids.Offset:
+    def append(self, batch: typing.Sequence[records.Record]) -> ids.Offset:
         """Appends records, all or none, and returns the first offset.
 
         Raises:
@@ -206,9 +204,7 @@
             delays.reset()
             self._note_heard()
             self._apply_page(page)
-            self._is_caught_up = (
-                self._is_caught_up or self._next >= page.end
-            )
+            self._is_caught_up = self._is_caught_up or self._next >= page.end
             eventlet.sleep(SPACING_S if self._is_caught_up else 0)
 
     def _note_heard(self) -> None:
--- a/src/lentildeal/_internal/network/sse.py
+++ b/src/lentildeal/_internal/network/sse.py
@@ -61,7 +61,9 @@
             exceptions.TruncatedAnswerError: An event is too long.
         """
         return [
-            data for data in map(_read_data, self._split(data)) if data is not None
+            data
+            for data in map(_read_data, self._split(data))
+            if data is not None
         ]
 
     def _split(self, data: bytes) -> list[bytes]:
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -2,9 +2,215 @@
 
 from __future__ import annotations
 
+import dataclasses
+import typing
+
+import eventlet
+import prometheus_client
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import duty_keeper
+from lentildeal._internal.jobs import records
 from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.orders import rotation
+from lentildeal._internal.utils import clock
+
+# Longest time until a named version or a new replica is noticed.
+CHECK_S = 0.1
+# A load takes 0.9 s and more while others load; reports lag by 0.2 s.
+FIRST_POLL_S = 0.9
+POLL_S = 0.15
+# An order that shows no effect in this time is given again. An order that is
+# carried out late, 2 to 12 s after it was sent, then fails by its count.
+CONFIRM_S = 4.0
+CONFLICT_DELAY_S = 0.3
+# A replica that did not answer is passed over for this time.
+AVOIDANCE_S = 2.0
+
+_orders_total = prometheus_client.Counter(
+    'lentildeal_orders_total', 'Orders to replicas by outcome.', ['outcome']
+)
+
+
+@dataclasses.dataclass
+class _PendingLoad:
+    load: rotation.PlannedLoad
+    started_s: float
 
 
 @plugins.register('rotation', after=('duties',))
 class Rotation(plugins.Plugin):
     """Gives the orders of the services whose duty this daemon holds."""
+
+    def __init__(self, kernel) -> None:
+        super().__init__(kernel)
+        self._directory = kernel.plugin('directory')
+        self._duties = kernel.plugin('duties')
+        self._log = kernel.plugin('work_log')
+        self._pending: dict[ids.ReplicaId, _PendingLoad] = {}
+        self._avoided_until_s: dict[ids.ReplicaId, float] = {}
+        self._is_leaving = False
+
+    def start(self) -> None:
+        """See the base class."""
+        self._kernel.spawn('rotation', self._run)
+
+    def drain(self) -> None:
+        """Gives no more orders."""
+        self._is_leaving = True
+
+    def _run(self) -> None:
+        while not self._is_leaving:
+            text = self._directory.text
+            if text is not None:
+                for service in text.iter_engine_services():
+                    if self._may_order(service.name):
+                        self._order_missing(service)
+            self._directory.changed.wait(CHECK_S)
+
+    def _may_order(self, service: ids.ServiceName) -> bool:
+        duty = duty_keeper.orders_duty(service)
+        return self._duties.may_order(duty) and not self._is_leaving
+
+    def _order_missing(self, service: deployment.Service) -> None:
+        named = {}
+        for model in service.models:
+            version = self._directory.named_version(model)
+            if version is not None:
+                named[model] = version
+        ready = self._directory.replicas.list_ready(service.name)
+        holdings = [self._make_holding(replica) for replica in ready]
+        for load in rotation.plan(named, len(service.models), holdings):
+            self._pending[load.replica_id] = _PendingLoad(
+                load, clock.monotonic_s()
+            )
+            eventlet.spawn_n(self._carry_out, service.name, load)
+
+    def _make_holding(self, replica: deployment.Replica) -> rotation.Holding:
+        replica_id = replica.replica_id
+        pending = self._pending.get(replica_id)
+        until_s = self._avoided_until_s.get(replica_id, 0.0)
+        return rotation.Holding(
+            replica_id,
+            replica.versions,
+            None
+            if pending is None
+            else (pending.load.model, pending.load.version),
+            until_s > clock.monotonic_s(),
+        )
+
+    def _carry_out(
+        self, service: ids.ServiceName, load: rotation.PlannedLoad
+    ) -> None:
+        """Orders one load and waits until the replica confirms it."""
+        try:
+            self._order_until_done(service, load)
+        except exceptions.PlatformError as error:
+            self._avoided_until_s[load.replica_id] = (
+                clock.monotonic_s() + AVOIDANCE_S
+            )
+            events.emit(
+                'attempt_failed',
+                request=f'{load.model}/{load.version}',
+                replica=load.replica_id,
+                reason=error.message,
+                elapsed_ms=self._elapsed_ms(load),
+            )
+        finally:
+            self._pending.pop(load.replica_id, None)
+
+    def _order_until_done(
+        self, service: ids.ServiceName, load: rotation.PlannedLoad
+    ) -> None:
+        deadline = clock.Deadline(0.0)
+        is_ordered = False
+        while self._may_order(service):
+            replica = self._directory.replicas.get(load.replica_id)
+            if replica is None:
+                return
+            report = self._directory.platform.get_report(replica)
+            if report.versions.get(load.model, 0) >= load.version:
+                self._confirm(load)
+                return
+            if report.is_busy or (is_ordered and not deadline.has_passed):
+                eventlet.sleep(POLL_S)
+                continue
+            is_ordered = self._order(service, replica, load, report)
+            deadline = clock.Deadline(CONFIRM_S)
+            eventlet.sleep(FIRST_POLL_S if is_ordered else CONFLICT_DELAY_S)
+
+    def _order(
+        self,
+        service: ids.ServiceName,
+        replica: deployment.Replica,
+        load: rotation.PlannedLoad,
+        report: base.ReplicaReport,
+    ) -> bool:
+        """Sends an order; returns whether it is being carried out."""
+        duty = duty_keeper.orders_duty(service)
+        term = self._duties.find_term(duty)
+        # The report may have taken longer than the lease.
+        if term is None or not self._may_order(service):
+            return False
+        order = base.VersionOrder(
+            load.model,
+            load.version,
+            keeps_runs=not self._is_single_version(service),
+            holder=self._kernel.settings.instance,
+            fence=ids.FencingToken(term),
+            expected_orders=report.order_count,
+        )
+        outcome: typing.Optional[base.OrderOutcome] = None
+        try:
+            outcome = self._directory.platform.order_version(replica, order)
+        finally:
+            name = outcome.value if outcome is not None else 'unknown'
+            _orders_total.labels(name).inc()
+            events.emit(
+                'order_sent',
+                replica=load.replica_id,
+                model=load.model,
+                version=load.version,
+                fence=term,
+                expected=report.order_count,
+                outcome=name,
+            )
+        if outcome is base.OrderOutcome.FENCED:
+            # A newer holder has ordered; only a new term may order again.
+            self._duties.resign(duty, 'a replica saw a newer fencing token')
+        return outcome in (
+            base.OrderOutcome.ACCEPTED,
+            base.OrderOutcome.HOLDS_ALREADY,
+        )
+
+    def _confirm(self, load: rotation.PlannedLoad) -> None:
+        self._directory.replicas.confirm_version(
+            load.replica_id, load.model, load.version
+        )
+        self._log.enqueue(
+            records.VersionLoaded(load.replica_id, load.model, load.version)
+        )
+        events.emit(
+            'version_loaded',
+            replica=load.replica_id,
+            model=load.model,
+            version=load.version,
+            elapsed_ms=self._elapsed_ms(load),
+        )
+
+    def _is_single_version(self, service: ids.ServiceName) -> bool:
+        return any(
+            route.is_single_version
+            for route in self._directory.text.routes
+            if any(share.service == service for share in route.shares)
+        )
+
+    def _elapsed_ms(self, load: rotation.PlannedLoad) -> int:
+        pending = self._pending.get(load.replica_id)
+        if pending is None:
+            return 0
+        return int((clock.monotonic_s() - pending.started_s) * 1000)
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -132,9 +132,7 @@
     )
 
 
-def decode_job(
-    request: http_server.Request, host: str, path: str
-) -> jobs.Job:
+def decode_job(request: http_server.Request, host: str, path: str) -> jobs.Job:
     """Decodes a submission.
 
     Raises:
@@ -213,9 +211,11 @@
 
 
 def _read_host(request: http_server.Request) -> str:
-    return urllib.parse.urlsplit(
-        f'//{request.headers.get("host", "")}'
-    ).netloc.rsplit(':', 1)[0].lower()
+    return (
+        urllib.parse.urlsplit(f'//{request.headers.get("host", "")}')
+        .netloc.rsplit(':', 1)[0]
+        .lower()
+    )
 
 
 def _read_number(value: str, name: str) -> int:
