Keep texts out of the work log, in streams of their own

Cause: after a loss of power everywhere the daemons read the log for 25 s. Ruled out: time limits of single reads (none failed for the first 15 s). Change: the work log holds places of texts only; texts are read on demand.

--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -30,8 +30,11 @@
     def take(self, stream: str, record: base.KeyedRecord) -> None:
         """Takes in one change."""
 
-    def note_reachable(self, stream: str, is_reachable: bool) -> None:
-        """The stream answers or does not, by the last call."""
+    def note_answer(self, stream: str) -> None:
+        """The stream has answered."""
+
+    def note_failure(self, stream: str, reason: str) -> None:
+        """The stream has not answered."""
 
 
 class KeyedFollower:
@@ -56,12 +59,12 @@
                 # time; the newest of each key are left.
                 self._next = None
                 continue
-            except exceptions.PlatformError:
-                self._sink.note_reachable(self._stream, False)
+            except exceptions.PlatformError as error:
+                self._sink.note_failure(self._stream, error.message)
                 eventlet.sleep(delays.next_delay_s())
                 continue
             delays.reset()
-            self._sink.note_reachable(self._stream, True)
+            self._sink.note_answer(self._stream)
             eventlet.sleep(SPACING_S)
 
     def _step(self) -> None:
@@ -69,12 +72,12 @@
             found, end = self._store.read_newest(self._stream)
             # Reachability first: what is missing after an outage may only
             # have lapsed.
-            self._sink.note_reachable(self._stream, True)
+            self._sink.note_answer(self._stream)
             self._sink.take_all(self._stream, found)
             self._next = end
             return
         page = self._store.read(self._stream, self._next, wait_s=WAIT_S)
-        self._sink.note_reachable(self._stream, True)
+        self._sink.note_answer(self._stream)
         for record in page.records:
             if record.offset > self._next:
                 raise exceptions.LogTrimmedError('records are missing', 0)
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -88,20 +88,22 @@
             self._apply(change)
             self.changed.set()
 
-    def note_reachable(self, stream: str, is_reachable: bool) -> None:
+    def note_answer(self, stream: str) -> None:
         """See ``follower.KeyedSink``."""
-        if is_reachable and self._reachable.get(stream) is not True:
+        if self._reachable.get(stream) is not True:
             events.emit('dependency_regained', dependency=stream)
-        elif not is_reachable and self._reachable.get(stream) is True:
-            events.emit('dependency_lost', dependency=stream)
-        elif not is_reachable and stream not in self._reachable:
+        self._reachable[stream] = True
+        self.replicas.note_store_regained()
+
+    def note_failure(self, stream: str, reason: str) -> None:
+        """See ``follower.KeyedSink``."""
+        if stream not in self._reachable:
             # Nothing was read yet, so nothing can have lapsed.
             return
-        self._reachable[stream] = is_reachable
-        if is_reachable:
-            self.replicas.note_store_regained()
-        else:
-            self.replicas.note_store_lost()
+        if self._reachable[stream]:
+            events.emit('dependency_lost', dependency=stream, reason=reason)
+        self._reachable[stream] = False
+        self.replicas.note_store_lost()
 
     def _is_replica_stream(self, stream: str) -> bool:
         return stream == self.platform.directory_streams[-1]
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -22,8 +22,8 @@
         exceptions.PlatformError: The log did not answer.
     """
     items: list[jobs.Item] = []
-    for _, place in entry.parts:
-        items.extend(work_log.read_record(place).iter_items())
+    for part in work_log.read_texts([place for _, place in entry.parts]):
+        items.extend(part.iter_items())
     return items
 
 
@@ -36,7 +36,7 @@
         exceptions.PlatformError: The log did not answer.
     """
     first, place = entry.find_part(index)
-    part = work_log.read_record(place)
+    (part,) = work_log.read_texts([place])
     return jobs.Item(*part.items[index - first])
 
 
@@ -81,8 +81,8 @@
 def _load_progress(
     work_log: work_log_module.WorkLog, saved: table.SavedProgress
 ) -> jobs.Progress:
-    record = work_log.read_record(saved.place)
-    return jobs.Progress(record.events, record.last_event_id, record.versions)
+    (texts,) = work_log.read_texts([saved.place])
+    return jobs.Progress(texts.events, saved.last_event_id, saved.versions)
 
 
 def _tokens_per_event(
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -169,49 +169,72 @@
         if self._is_known(job.head.job_id):
             return
         limit = self._kernel.settings.store.record_bytes
-        parts = records.split_job(job, limit)
+        parts = records.split_items(job.items, limit)
         deadline = clock.Deadline(SUBMIT_S)
+        accepted: typing.Optional[records.JobAccepted] = None
         while True:
             try:
-                self._log.append(parts)
-                return
-            except exceptions.LogAnswerLostError:
-                self._find_outcome(job, parts)
+                if accepted is None:
+                    accepted = self._store_items(job, parts)
+                self._log.append([accepted])
                 return
+            except exceptions.LogAnswerLostError as error:
+                if accepted is not None:
+                    self._find_outcome(accepted)
+                    return
+                # Items alone mean nothing: nothing of the job runs.
+                failure: exceptions.PlatformError = error
             except exceptions.LogUnavailableError as error:
-                if deadline.has_passed:
-                    raise _make_unsure(error) from error
-                eventlet.sleep(RETRY_S)
+                failure = error
+            if deadline.has_passed:
+                raise _make_unsure(failure) from failure
+            eventlet.sleep(RETRY_S)
 
-    def _find_outcome(
-        self, job: jobs.Job, parts: list[records.JobPart]
-    ) -> None:
+    def _store_items(
+        self, job: jobs.Job, parts: list[tuple[int, records.JobPart]]
+    ) -> records.JobAccepted:
+        """Appends the items to a text stream.
+
+        Raises:
+            exceptions.PlatformError: They may not be stored.
+        """
+        places = self._log.append_texts(
+            records.text_stream(job.head.job_id), [part for _, part in parts]
+        )
+        return records.JobAccepted(
+            dataclasses.astuple(job.head),
+            tuple(item.item_id for item in job.items),
+            tuple(
+                (first, place.offset, place.size_bytes)
+                for (first, _), place in zip(parts, places, strict=True)
+            ),
+        )
+
+    def _find_outcome(self, accepted: records.JobAccepted) -> None:
         """Learns whether an append without an answer took effect.
 
-        It is repeated, as the log shows the first one only.
+        It is repeated, as only the first record of a job counts.
 
         Raises:
             exceptions.MayHaveRunError: It may still take effect.
         """
+        job_id = accepted.job_head.job_id
         deadline = clock.Deadline(OUTCOME_S)
         while not deadline.has_passed:
             try:
                 self._log.sync()
-                if self._is_known(job.head.job_id):
-                    return
-                self._log.append(parts)
+                if not self._is_known(job_id):
+                    self._log.append([accepted])
                 return
             except exceptions.PlatformError:
+                # The outcome stays unknown until the deadline.
                 eventlet.sleep(RETRY_S)
         raise exceptions.MayHaveRunError(
-            f'job {job.head.job_id}: the store did not confirm it'
+            f'job {job_id}: the store did not confirm it'
         )
 
     def _is_known(self, job_id: ids.JobId) -> bool:
-        entry = self._log.table.get(job_id)
-        return entry is not None and (
-            len(entry.item_ids) == entry.head.item_count
-        )
+        return self._log.table.get(job_id) is not None
 
     def _find(self, job_id: ids.JobId) -> table.JobEntry:
         if not self._log.is_caught_up or not self._is_known(job_id):
@@ -228,27 +251,36 @@
             raise _make_unsure(error) from error
 
     def _make_page(self, entry: table.JobEntry, after: int) -> JobPage:
-        found: list[jobs.Result] = []
-        size_bytes = 0
-        for listed in entry.results[after:]:
-            try:
-                record = self._log.read_record(listed.place)
-            except exceptions.PlatformError as error:
-                if found:
-                    break
-                raise _make_unsure(error) from error
-            size_bytes += len(record.text)
-            if found and size_bytes > PAGE_BYTES:
-                break
-            found.append(
-                jobs.Result(
-                    entry.item_ids[listed.index],
-                    listed.state,
-                    record.text,
-                    listed.versions,
-                )
+        listed = _select_page(entry.results[after:])
+        places = [r.place for r in listed if r.place is not None]
+        try:
+            texts = iter(self._log.read_texts(places))
+        except exceptions.PlatformError as error:
+            raise _make_unsure(error) from error
+        found = tuple(
+            jobs.Result(
+                entry.item_ids[result.index],
+                result.state,
+                '' if result.place is None else next(texts).text,
+                result.versions,
             )
-        return JobPage(entry.head.item_count, after + len(found), tuple(found))
+            for result in listed
+        )
+        return JobPage(entry.head.item_count, after + len(found), found)
+
+
+def _select_page(
+    results: list[table.ListedResult],
+) -> list[table.ListedResult]:
+    """Results that fit into one answer, at least one if there is one."""
+    selected: list[table.ListedResult] = []
+    size_bytes = 0
+    for result in results:
+        size_bytes += 0 if result.place is None else result.place.size_bytes
+        if selected and size_bytes > PAGE_BYTES:
+            break
+        selected.append(result)
+    return selected
 
 
 def _make_unsure(error: exceptions.LentildealError) -> exceptions.NotRunError:
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -1,4 +1,8 @@
-"""Records of the work log and their encoding in msgpack."""
+"""Records of the work log and of the text streams, encoded in msgpack.
+
+All daemons read the work log whole, so its records are small. Bodies and
+texts are in streams of their own and are read by offset when they are needed.
+"""
 
 from __future__ import annotations
 
@@ -10,7 +14,11 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
+from lentildeal._internal.utils import hashing
 
+WORK_STREAM = 'lentildeal.work'
+# A stream takes about 2.5 MB a second; several share the texts of all jobs.
+TEXT_STREAMS = 4
 # Head of a job's part, msgpack overhead and field names, in bytes.
 PART_OVERHEAD_BYTES = 2048
 
@@ -18,6 +26,19 @@
 _NUMBERS: dict[type, int] = {}
 
 
+class Place(typing.NamedTuple):
+    """Where a record of a text stream is."""
+
+    stream: str
+    offset: ids.Offset
+    size_bytes: int
+
+
+def text_stream(job_id: ids.JobId) -> str:
+    """Name of the stream that holds the texts of a job."""
+    return f'lentildeal.texts.{hashing.hash_text(job_id) % TEXT_STREAMS}'
+
+
 def record(number: int) -> typing.Callable[[type], type]:
     """Registers a record class under the number that is stored."""
 
@@ -31,39 +52,36 @@
 
 @record(1)
 @dataclasses.dataclass(frozen=True)
-class JobPart:
-    """Some items of a job; the parts of a job are one append.
+class JobAccepted:
+    """A job whose items are in a text stream.
 
     Attributes:
         head: Fields of ``jobs.JobHead``.
-        first: Number of the first item in this part.
-        items: Fields of ``jobs.Item``, an entry each.
+        item_ids: Identifiers of the items, in order.
+        parts: Number of the first item, offset and size of each part.
     """
 
     head: tuple
-    first: int
-    items: tuple
+    item_ids: tuple[ids.ItemId, ...]
+    parts: tuple[tuple[int, int, int], ...]
 
     @property
     def job_head(self) -> jobs.JobHead:
         """The job without its items."""
         return jobs.JobHead(*self.head)
 
-    def iter_items(self) -> typing.Iterator[jobs.Item]:
-        """Items of this part."""
-        return (jobs.Item(*fields) for fields in self.items)
-
 
 @record(2)
 @dataclasses.dataclass(frozen=True)
 class ItemResult:
-    """The end of an item."""
+    """The end of an item; offset and size of its text, if it has one."""
 
     job_id: ids.JobId
     index: int
     state: str
     versions: tuple[int, ...]
-    text: str
+    offset: int = -1
+    size_bytes: int = 0
 
 
 @record(3)
@@ -82,8 +100,10 @@
     job_id: ids.JobId
     index: int
     versions: tuple[int, ...]
+    event_count: int
     last_event_id: str
-    events: tuple[str, ...]
+    offset: int = -1
+    size_bytes: int = 0
 
 
 @record(5)
@@ -133,8 +153,34 @@
     version: ids.Version
 
 
+# Records of the text streams.
+@record(16)
+@dataclasses.dataclass(frozen=True)
+class JobPart:
+    """Some items of a job, an entry with the fields of ``jobs.Item`` each."""
+
+    items: tuple
+
+    def iter_items(self) -> typing.Iterator[jobs.Item]:
+        """Items of this part."""
+        return (jobs.Item(*fields) for fields in self.items)
+
+
+@record(17)
+@dataclasses.dataclass(frozen=True)
+class EventTexts:
+    """Data of the events of an item, in order."""
+
+    events: tuple[str, ...]
+
+    @property
+    def text(self) -> str:
+        """Data of all events, separated by line feeds."""
+        return '\n'.join(self.events)
+
+
 Record = typing.Union[
-    JobPart,
+    JobAccepted,
     ItemResult,
     JobEnd,
     Checkpoint,
@@ -143,24 +189,29 @@
     Resignation,
     VersionLoaded,
 ]
+Payload = typing.Union[JobPart, EventTexts]
 
 
-def encode(value: Record) -> bytes:
+def encode(value: typing.Union[Record, Payload]) -> bytes:
     """Encodes a record."""
     fields = [
         getattr(value, field.name) for field in dataclasses.fields(value)
     ]
-    return msgpack.packb([_NUMBERS[type(value)], *fields])
+    return msgpack.packb(
+        [_NUMBERS[type(value)], *fields], unicode_errors='surrogateescape'
+    )
 
 
-def decode(body: bytes) -> Record:
+def decode(body: bytes) -> typing.Any:
     """Decodes a record.
 
     Raises:
         exceptions.UnreadableRecordError: No release wrote it like that.
     """
     try:
-        number, *fields = msgpack.unpackb(body, use_list=False)
+        number, *fields = msgpack.unpackb(
+            body, use_list=False, unicode_errors='surrogateescape'
+        )
         return _KINDS[number](*fields)
     except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
         raise exceptions.UnreadableRecordError(
@@ -168,17 +219,22 @@
         ) from error
 
 
-def split_job(job: jobs.Job, record_bytes: int) -> list[JobPart]:
-    """Splits a job into records of at most a size.
+def split_items(
+    items: typing.Iterable[jobs.Item], record_bytes: int
+) -> list[tuple[int, JobPart]]:
+    """Splits items into records of at most a size.
+
+    Returns:
+        Number of the first item of each part, and the part.
 
     Raises:
         exceptions.BadRequestError: An item alone is too large.
     """
     limit = record_bytes - PART_OVERHEAD_BYTES
-    head = dataclasses.astuple(job.head)
-    parts: list[JobPart] = []
-    first, size, batch = 0, 0, []
-    for index, item in enumerate(job.items):
+    parts: list[tuple[int, JobPart]] = []
+    first, size_bytes = 0, 0
+    batch: list[tuple] = []
+    for index, item in enumerate(items):
         fields = dataclasses.astuple(item)
         item_bytes = len(msgpack.packb(fields))
         if item_bytes > limit:
@@ -187,10 +243,10 @@
                 f' {limit} are allowed',
                 remedy='send a smaller body',
             )
-        if batch and size + item_bytes > limit:
-            parts.append(JobPart(head, first, tuple(batch)))
-            first, size, batch = index, 0, []
+        if batch and size_bytes + item_bytes > limit:
+            parts.append((first, JobPart(tuple(batch))))
+            first, size_bytes, batch = index, 0, []
         batch.append(fields)
-        size += item_bytes
-    parts.append(JobPart(head, first, tuple(batch)))
+        size_bytes += item_bytes
+    parts.append((first, JobPart(tuple(batch))))
     return parts
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -180,12 +180,11 @@
             progress = jobs.Progress(versions=found[1].versions)
             if not task.is_valid(progress, self._is_single(task)):
                 continue
-            record = self._log.read_record(found[1].place)
+            (texts,) = self._log.read_texts([found[1].place])
             self._list(
                 task,
                 jobs.ResultState.DONE,
-                record.text,
-                found[1].versions,
+                jobs.Progress(texts.events, versions=found[1].versions),
             )
 
     # Decisions on runs.
@@ -296,7 +295,7 @@
             if is_overdue:
                 if task.attempt is not None:
                     self._stop_attempt(task)
-                self._list(task, jobs.ResultState.GIVEN_UP, '', ())
+                self._list(task, jobs.ResultState.GIVEN_UP, jobs.Progress())
 
     def _assign_waiting(self) -> None:
         for task in self._sort_waiting():
@@ -419,12 +418,7 @@
     def _take_complete(self, task: tasks.ItemTask) -> None:
         progress = task.progress
         if task.is_valid(progress, self._is_single(task)):
-            self._list(
-                task,
-                jobs.ResultState.DONE,
-                progress.text,
-                progress.versions,
-            )
+            self._list(task, jobs.ResultState.DONE, progress)
         else:
             task.progress = jobs.Progress()
 
@@ -435,21 +429,19 @@
         route = self._find_route(task)
         most = route.max_attempts if route is not None else 1
         if ending is attempts.Ending.IMPOSSIBLE or task.failures >= most:
-            self._list(task, jobs.ResultState.GIVEN_UP, '', ())
+            self._list(task, jobs.ResultState.GIVEN_UP, jobs.Progress())
 
     def _list(
         self,
         task: tasks.ItemTask,
         state: jobs.ResultState,
-        text: str,
-        versions: tuple[int, ...],
+        progress: jobs.Progress,
     ) -> None:
         task.is_done = True
-        self._log.enqueue(
-            records.ItemResult(
-                task.entry.head.job_id, task.index, state.value, versions, text
-            )
+        record = records.ItemResult(
+            task.entry.head.job_id, task.index, state.value, progress.versions
         )
+        self._log.enqueue(record, progress.events or None)
         _items_total.labels(state.value).inc()
         _item_seconds.observe(clock.monotonic_s() - task.taken_s)
         events.emit(
@@ -457,7 +449,7 @@
             item=task.item.item_id,
             job=task.entry.head.job_id,
             state=state.value,
-            versions=versions,
+            versions=progress.versions,
             attempts=task.attempt_count,
             elapsed_ms=_elapsed_ms(task.taken_s),
         )
@@ -479,15 +471,14 @@
         if len(progress.events) - task.saved_events < min_new_events:
             return
         task.saved_events = len(progress.events)
-        self._log.enqueue(
-            records.Checkpoint(
-                task.entry.head.job_id,
-                task.index,
-                progress.versions,
-                progress.last_event_id,
-                progress.events,
-            )
+        record = records.Checkpoint(
+            task.entry.head.job_id,
+            task.index,
+            progress.versions,
+            len(progress.events),
+            progress.last_event_id,
         )
+        self._log.enqueue(record, progress.events)
 
 
 def _elapsed_ms(since_s: float) -> int:
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -14,13 +14,6 @@
 from lentildeal._internal.models import jobs
 
 
-class Place(typing.NamedTuple):
-    """Where a record is in the work log."""
-
-    offset: ids.Offset
-    size_bytes: int
-
-
 @dataclasses.dataclass(frozen=True)
 class ListedResult:
     """A result at its position; the text stays in the log."""
@@ -28,7 +21,7 @@
     index: int
     state: jobs.ResultState
     versions: tuple[int, ...]
-    place: Place
+    place: typing.Optional[records.Place]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,16 +30,21 @@
 
     versions: tuple[int, ...]
     event_count: int
-    place: Place
+    last_event_id: str
+    place: records.Place
 
 
 class JobEntry:
     """What is kept of a job in memory."""
 
-    def __init__(self, head: jobs.JobHead) -> None:
-        self.head = head
-        self.parts: list[tuple[int, Place]] = []
-        self.item_ids: list[ids.ItemId] = []
+    def __init__(self, accepted: records.JobAccepted) -> None:
+        self.head = accepted.job_head
+        self.item_ids = accepted.item_ids
+        # First item of each part, and where the part is.
+        self.parts = tuple(
+            (first, self.make_place(offset, size_bytes))
+            for first, offset, size_bytes in accepted.parts
+        )
         self.results: list[ListedResult] = []
         self.checkpoints: dict[int, SavedProgress] = {}
         self.is_ended = False
@@ -62,6 +60,11 @@
         """Whether items are still to be run."""
         return not (self.is_ended or self.is_whole)
 
+    def make_place(self, offset: ids.Offset, size_bytes: int) -> records.Place:
+        """Place of a text of this job."""
+        stream = records.text_stream(self.head.job_id)
+        return records.Place(stream, offset, size_bytes)
+
     def is_listed(self, index: int) -> bool:
         """Whether an item has a result."""
         return index in self._listed
@@ -73,7 +76,7 @@
         except ValueError:
             return None
 
-    def find_part(self, index: int) -> tuple[int, Place]:
+    def find_part(self, index: int) -> tuple[int, records.Place]:
         """First number and place of the part that holds an item."""
         return max(part for part in self.parts if part[0] <= index)
 
@@ -128,10 +131,10 @@
                 found.append(entry.checkpoints[index])
         return max(found, key=lambda saved: saved.event_count, default=None)
 
-    def apply(self, record: records.Record, place: Place) -> bool:
+    def apply(self, record: records.Record) -> bool:
         """Takes in a record; returns whether it changed anything."""
-        if isinstance(record, records.JobPart):
-            return self._apply_part(record, place)
+        if isinstance(record, records.JobAccepted):
+            return self._apply_job(record)
         entry = self._jobs.get(getattr(record, 'job_id', ids.JobId('')))
         if entry is None:
             return False
@@ -144,8 +147,8 @@
         if not 0 <= record.index < len(entry.item_ids):
             return False
         if isinstance(record, records.ItemResult):
-            return self._apply_result(entry, record, place)
-        return self._apply_checkpoint(entry, record, place)
+            return self._apply_result(entry, record)
+        return self._apply_checkpoint(entry, record)
 
     def drop_submitted_before(self, unix_ms: int) -> int:
         """Forgets jobs that nobody may ask for any more."""
@@ -169,29 +172,22 @@
             }
         return len(old)
 
-    def _apply_part(self, part: records.JobPart, place: Place) -> bool:
-        head = part.job_head
-        entry = self._jobs.get(head.job_id)
-        if entry is None:
-            if part.first != 0:
-                # Its first part was dropped by the log.
-                return False
-            entry = self._jobs[head.job_id] = JobEntry(head)
-        # Parts are contiguous within one append. A repeated submission
-        # starts again with the first item and is ignored.
-        if part.first != len(entry.item_ids):
+    def _apply_job(self, accepted: records.JobAccepted) -> bool:
+        head = accepted.job_head
+        if head.job_id in self._jobs:
+            # A repeated submission.
             return False
-        if entry.parts and entry.parts[-1][1].offset != place.offset - 1:
-            return False
-        entry.parts.append((part.first, place))
-        for fields in part.items:
-            entry.item_ids.append(fields[0])
-            self._first_jobs.setdefault(fields[0], head.job_id)
+        self._jobs[head.job_id] = JobEntry(accepted)
+        for item_id in accepted.item_ids:
+            self._first_jobs.setdefault(item_id, head.job_id)
         return True
 
     def _apply_result(
-        self, entry: JobEntry, record: records.ItemResult, place: Place
+        self, entry: JobEntry, record: records.ItemResult
     ) -> bool:
+        place = None
+        if record.offset >= 0:
+            place = entry.make_place(record.offset, record.size_bytes)
         result = ListedResult(
             record.index,
             jobs.ResultState(record.state),
@@ -206,14 +202,17 @@
         return True
 
     def _apply_checkpoint(
-        self, entry: JobEntry, record: records.Checkpoint, place: Place
+        self, entry: JobEntry, record: records.Checkpoint
     ) -> bool:
         if entry.is_listed(record.index):
             return False
         known = entry.checkpoints.get(record.index)
-        if known is not None and known.event_count >= len(record.events):
+        if known is not None and known.event_count >= record.event_count:
             return False
         entry.checkpoints[record.index] = SavedProgress(
-            record.versions, len(record.events), place
+            record.versions,
+            record.event_count,
+            record.last_event_id,
+            entry.make_place(record.offset, record.size_bytes),
         )
         return True
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import math
 import typing
 
@@ -20,7 +21,6 @@
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import wakeup
 
-STREAM = 'lentildeal.work'
 # A read that waits returns at once with a record. A silent connection is
 # noticed after this time and the time limit of a read.
 WAIT_S = 0.8
@@ -36,8 +36,10 @@
 LINGER_S = 0.02
 FIRST_RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
-# Newest records kept in memory, for readers that follow closely.
+# Texts kept in memory: those of items that ended here, and those just read.
 CACHE_BYTES = 256 * 1024
+# Most text of one read; a read of the store returns at most 1 MB.
+GROUP_BYTES = 512 * 1024
 # Jobs are forgotten this long after results may be asked for.
 FORGET_MARGIN_S = 60.0
 FORGET_INTERVAL_S = 10.0
@@ -47,28 +49,35 @@
 )
 
 
-class _RecordCache:
-    """Newest records by offset, bounded in bytes."""
+class _TextCache:
+    """Newest texts by place, bounded in bytes."""
 
     def __init__(self) -> None:
-        self._bodies: collections.OrderedDict[int, bytes] = (
+        self._bodies: collections.OrderedDict[records.Place, bytes] = (
             collections.OrderedDict()
         )
         self._size_bytes = 0
 
-    def get(self, offset: int) -> typing.Optional[bytes]:
-        return self._bodies.get(offset)
+    def get(self, place: records.Place) -> typing.Optional[bytes]:
+        return self._bodies.get(place)
 
-    def put(self, offset: int, body: bytes) -> None:
-        if offset in self._bodies or len(body) > CACHE_BYTES:
+    def put(self, place: records.Place, body: bytes) -> None:
+        if place in self._bodies or len(body) > CACHE_BYTES:
             return
-        self._bodies[offset] = body
+        self._bodies[place] = body
         self._size_bytes += len(body)
         while self._size_bytes > CACHE_BYTES:
             _, dropped = self._bodies.popitem(last=False)
             self._size_bytes -= len(dropped)
 
 
+class _Queued(typing.NamedTuple):
+    """A record to append, and the events of its text if it has one."""
+
+    record: records.Record
+    events: typing.Optional[tuple[str, ...]]
+
+
 @plugins.register('work_log', after=('directory',))
 class WorkLog(plugins.Plugin):
     """Reads the work log into tables, and appends to it."""
@@ -83,11 +92,12 @@
         self._settings = kernel.settings.store
         self._next = ids.Offset(0)
         self._is_caught_up = False
+        self._is_reachable = False
         self._heard_s = -math.inf
         self._heard_since_s = math.inf
-        self._queue: collections.deque[records.Record] = collections.deque()
+        self._queue: collections.deque[_Queued] = collections.deque()
         self._queued = wakeup.Wakeup()
-        self._cache = _RecordCache()
+        self._cache = _TextCache()
 
     @property
     def is_caught_up(self) -> bool:
@@ -122,7 +132,7 @@
         """
         bodies = [records.encode(record) for record in batch]
         try:
-            offset = self._store.append(STREAM, bodies)
+            offset = self._store.append(records.WORK_STREAM, bodies)
         except exceptions.LogAnswerLostError:
             _appends_total.labels('unknown').inc()
             raise
@@ -132,12 +142,39 @@
         _appends_total.labels('done').inc()
         return offset
 
-    def enqueue(self, record: records.Record) -> None:
+    def append_texts(
+        self, stream: str, texts: typing.Sequence[records.Payload]
+    ) -> list[records.Place]:
+        """Appends texts, all or none, and returns their places.
+
+        Raises:
+            exceptions.LogUnavailableError: The append had no effect.
+            exceptions.LogAnswerLostError: Nobody will know the places.
+        """
+        bodies = [records.encode(text) for text in texts]
+        first = self._store.append(stream, bodies)
+        places = [
+            records.Place(stream, ids.Offset(first + number), len(body))
+            for number, body in enumerate(bodies)
+        ]
+        for place, body in zip(places, bodies, strict=True):
+            self._cache.put(place, body)
+        return places
+
+    def enqueue(
+        self,
+        record: records.Record,
+        events_of_text: typing.Optional[tuple[str, ...]] = None,
+    ) -> None:
         """Appends a record as soon as possible, again until it is done.
 
         Only for records whose repetition changes nothing.
+
+        Args:
+            record: Record of the work log.
+            events_of_text: Text whose place is filled in, if it has one.
         """
-        self._queue.append(record)
+        self._queue.append(_Queued(record, events_of_text))
         self._queued.set()
 
     def sync(self) -> None:
@@ -149,7 +186,7 @@
         while True:
             try:
                 page = self._store.read(
-                    STREAM, self._next, limit_bytes=READ_BYTES
+                    records.WORK_STREAM, self._next, limit_bytes=READ_BYTES
                 )
             except exceptions.LogTrimmedError as error:
                 self._next = ids.Offset(max(error.oldest, self._next + 1))
@@ -158,39 +195,55 @@
             if self._next >= page.end:
                 return
 
-    def read_record(self, place: table.Place) -> records.Record:
-        """Reads one record.
+    def read_texts(
+        self, places: typing.Sequence[records.Place]
+    ) -> list[typing.Any]:
+        """Reads texts, neighbours in one call.
 
         Raises:
-            exceptions.PlatformError: The log did not answer, or has dropped
-                the record.
+            exceptions.PlatformError: The store did not answer, or has
+                dropped a text.
         """
-        return records.decode(self._read_body(place))
-
-    def _read_body(self, place: table.Place) -> bytes:
-        body = self._cache.get(place.offset)
-        if body is not None:
-            return body
-        # The head of a page and of a record come on top of the record.
+        bodies: dict[records.Place, bytes] = {}
+        missing = []
+        # What is cached now may be evicted while the rest is read.
+        for place in places:
+            body = self._cache.get(place)
+            if body is None:
+                missing.append(place)
+            else:
+                bodies[place] = body
+        for group in _group_neighbours(missing):
+            bodies.update(self._read_group(group))
+        return [records.decode(bodies[place]) for place in places]
+
+    def _read_group(
+        self, group: list[records.Place]
+    ) -> dict[records.Place, bytes]:
+        # Lengths of records and the head of a page come on top.
+        limit = sum(p.size_bytes + 4 for p in group) + 1024
         page = self._store.read(
-            STREAM, place.offset, limit_bytes=place.size_bytes + 1024
+            group[0].stream, group[0].offset, limit_bytes=limit
         )
-        for record in page.records:
-            self._cache.put(record.offset, record.body)
-            if record.offset == place.offset:
-                body = record.body
-        if body is None:
-            raise exceptions.LogUnavailableError(
-                f'record {place.offset} of the work log did not come'
-            )
-        return body
+        found = {raw.offset: raw.body for raw in page.records}
+        bodies = {}
+        for place in group:
+            body = found.get(place.offset)
+            if body is None or len(body) != place.size_bytes:
+                raise exceptions.LogUnavailableError(
+                    f'text {place.offset} of {place.stream} did not come'
+                )
+            bodies[place] = body
+            self._cache.put(place, body)
+        return bodies
 
     def _follow(self) -> None:
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        started_s = clock.monotonic_s()
         while True:
             try:
                 page = self._store.read(
-                    STREAM,
+                    records.WORK_STREAM,
                     self._next,
                     wait_s=WAIT_S if self._is_caught_up else 0.0,
                     limit_bytes=READ_BYTES,
@@ -198,16 +251,35 @@
             except exceptions.LogTrimmedError as error:
                 self._next = ids.Offset(max(error.oldest, self._next + 1))
                 continue
-            except exceptions.PlatformError:
+            except exceptions.PlatformError as error:
+                self._note_unheard(error.message)
                 eventlet.sleep(delays.next_delay_s())
                 continue
             delays.reset()
             self._note_heard()
             self._apply_page(page)
-            self._is_caught_up = self._is_caught_up or self._next >= page.end
+            if not self._is_caught_up and self._next >= page.end:
+                self._is_caught_up = True
+                events.emit(
+                    'log_caught_up',
+                    offset=self._next,
+                    elapsed_ms=_elapsed_ms(started_s),
+                )
             eventlet.sleep(SPACING_S if self._is_caught_up else 0)
 
+    def _note_unheard(self, reason: str) -> None:
+        if self._is_reachable:
+            events.emit(
+                'dependency_lost',
+                dependency=records.WORK_STREAM,
+                reason=reason,
+            )
+        self._is_reachable = False
+
     def _note_heard(self) -> None:
+        if not self._is_reachable:
+            events.emit('dependency_regained', dependency=records.WORK_STREAM)
+        self._is_reachable = True
         now_s = clock.boottime_s()
         if now_s - self._heard_s > GAP_S:
             self._heard_since_s = now_s
@@ -230,7 +302,7 @@
         except exceptions.UnreadableRecordError as error:
             events.emit(
                 'record_ignored',
-                stream=STREAM,
+                stream=records.WORK_STREAM,
                 key=offset,
                 reason=error.message,
             )
@@ -242,10 +314,7 @@
             return True
         if self.duties.apply(record, offset, clock.boottime_s()):
             return True
-        is_change = self.table.apply(record, table.Place(offset, len(body)))
-        if is_change and isinstance(record, records.ItemResult):
-            self._cache.put(offset, body)
-        return is_change
+        return self.table.apply(record)
 
     def _append_queued(self) -> None:
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
@@ -257,7 +326,7 @@
                 eventlet.sleep(LINGER_S)
             batch = self._take_batch()
             try:
-                self.append(batch)
+                self.append(self._store_texts(batch))
             except exceptions.PlatformError as error:
                 events.emit(
                     'append_retried',
@@ -269,17 +338,41 @@
                 continue
             delays.reset()
 
-    def _take_batch(self) -> list[records.Record]:
-        batch: list[records.Record] = []
+    def _take_batch(self) -> list[_Queued]:
+        batch: list[_Queued] = []
         size_bytes = 0
         # Half of the limit leaves room for the encoding.
         limit = self._settings.call_bytes // 2
         while self._queue and size_bytes < limit:
-            record = self._queue.popleft()
-            size_bytes += len(getattr(record, 'text', '')) + 256
-            batch.append(record)
+            queued = self._queue.popleft()
+            # A character takes up to four bytes.
+            size_bytes += 256 + 4 * sum(map(len, queued.events or ()))
+            batch.append(queued)
         return batch
 
+    def _store_texts(self, batch: list[_Queued]) -> list[records.Record]:
+        """Appends the texts of a batch and fills in their places.
+
+        Raises:
+            exceptions.PlatformError: Some may not be stored.
+        """
+        by_stream: dict[str, list[int]] = {}
+        for number, queued in enumerate(batch):
+            if queued.events is not None:
+                stream = records.text_stream(queued.record.job_id)
+                by_stream.setdefault(stream, []).append(number)
+        found = [queued.record for queued in batch]
+        for stream, numbers in by_stream.items():
+            texts = [records.EventTexts(batch[n].events) for n in numbers]
+            places = self.append_texts(stream, texts)
+            for number, place in zip(numbers, places, strict=True):
+                found[number] = dataclasses.replace(
+                    found[number],
+                    offset=place.offset,
+                    size_bytes=place.size_bytes,
+                )
+        return found
+
     def _forget_old(self) -> None:
         while True:
             eventlet.sleep(FORGET_INTERVAL_S)
@@ -287,3 +380,26 @@
             self.table.drop_submitted_before(
                 int((clock.unix_s() - age_s) * 1000)
             )
+
+
+def _group_neighbours(
+    places: typing.Sequence[records.Place],
+) -> list[list[records.Place]]:
+    """Groups texts that follow on each other in one stream."""
+    groups: list[list[records.Place]] = []
+    for place in sorted(places):
+        last = groups[-1][-1] if groups else None
+        if (
+            last is not None
+            and last.stream == place.stream
+            and last.offset + 1 == place.offset
+            and sum(p.size_bytes for p in groups[-1]) < GROUP_BYTES
+        ):
+            groups[-1].append(place)
+        else:
+            groups.append([place])
+    return groups
+
+
+def _elapsed_ms(since_s: float) -> int:
+    return int((clock.monotonic_s() - since_s) * 1000)
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -126,11 +126,18 @@
     instance='Name of the instance.',
     in_flight='Requests that were cut off.',
 )
+define(
+    'log_caught_up',
+    'The work log has been read to its end.',
+    offset='Offset read up to.',
+    elapsed_ms='Time since the start, in milliseconds.',
+)
 define('readiness', 'Readiness changed.', ready='Whether it is ready.')
 define(
     'dependency_lost',
     'A dependency does not answer.',
     dependency='Its name.',
+    reason='Why the last call failed.',
 )
 define(
     'dependency_regained',
