--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -171,6 +171,12 @@
     default_remedy = 'see docs/interface.md for the fields'
 
 
+class RequestTooLargeError(BadRequestError):
+    """The body of a request is larger than allowed."""
+
+    default_remedy = 'send a smaller body'
+
+
 class NotFoundError(LentildealError):
     """A request names something that the text in force doesn't have."""
 
--- a/src/lentildeal/_internal/jobs/duty_keeper.py
+++ b/src/lentildeal/_internal/jobs/duty_keeper.py
@@ -191,6 +191,10 @@
             self._renewed_s = 0.0
 
     def _is_vacant(self, duty: ids.DutyName) -> bool:
+        state = self._log.duties.get(duty)
+        if state.holder == self._instance and not self._is_mine(duty):
+            # The earlier process of this instance held it and is gone.
+            return True
         return self._log.duties.is_vacant(
             duty,
             now_s=clock.boottime_s(),
@@ -200,6 +204,8 @@
 
     def _claim_delay_s(self, duty: ids.DutyName) -> float:
         state = self._log.duties.get(duty)
+        if state.holder == self._instance:
+            return 0.0
         share = hashing.hash_text(duty, self._instance, str(state.term))
         return CLAIM_SPREAD_S * (share / 2**64) + CLAIM_DELAY_PER_DUTY_S * len(
             self._leases
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -271,10 +271,13 @@
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
             return self._read_chunked_body(environ, limit)
         length = environ.get('CONTENT_LENGTH') or '0'
-        if not length.isdigit() or int(length) > limit:
+        if not length.isdigit():
             raise exceptions.BadRequestError(
-                f'the body has {length} bytes, {limit} are allowed',
-                remedy='send a smaller body',
+                f'the length {length!r} is no number'
+            )
+        if int(length) > limit:
+            raise exceptions.RequestTooLargeError(
+                f'the body has {length} bytes, {limit} are allowed'
             )
         body = environ['wsgi.input'].read(int(length))
         if len(body) < int(length):
@@ -291,9 +294,8 @@
                 f'the chunked body is not complete: {error}'
             ) from error
         if len(body) > limit:
-            raise exceptions.BadRequestError(
-                f'the body has more than the {limit} bytes that are allowed',
-                remedy='send a smaller body',
+            raise exceptions.RequestTooLargeError(
+                f'the body has more than the {limit} bytes that are allowed'
             )
         return body
 
@@ -340,6 +342,32 @@
             self._owner.count_started()
         return line
 
+    def parse_request(self) -> bool:
+        """Also refuses a head that two readers could frame differently.
+
+        A request hidden in the body of another one must not be run.
+        """
+        if not super().parse_request():
+            return False
+        lengths = self.headers.get_all('Content-Length', [])
+        codings = self.headers.get_all('Transfer-Encoding', [])
+        is_plain = all(
+            value.isascii() and value.strip(' \t').isdigit()
+            for value in lengths
+        )
+        is_chunked = [value.strip(' \t').lower() for value in codings] in (
+            [],
+            ['chunked'],
+        )
+        if is_plain and is_chunked and len(lengths) + len(codings) <= 1:
+            return True
+        self.wfile.write(
+            b'HTTP/1.1 400 Bad Request\r\n'
+            b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+        )
+        self.close_connection = 1
+        return False
+
     def handle_one_request(self) -> None:
         """Serves one request; its answer is written when this returns."""
         try:
--- a/src/lentildeal/_internal/network/problems.py
+++ b/src/lentildeal/_internal/network/problems.py
@@ -48,6 +48,11 @@
     http.HTTPStatus.BAD_REQUEST,
     outcomes.Outcome.NOT_RUN,
 )
+problem(
+    exceptions.RequestTooLargeError,
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    outcomes.Outcome.NOT_RUN,
+)
 problem(
     exceptions.NotFoundError,
     http.HTTPStatus.NOT_FOUND,
--- a/tests/functional/test_http_server.py
+++ b/tests/functional/test_http_server.py
@@ -2,20 +2,106 @@
 
 import eventlet
 import eventlet.event
+from eventlet.green import socket
+import pytest
 
 from lentildeal._internal.network import http_server
 from lentildeal._internal.settings import settings
 from tests.lib import builders
 from tests.lib import processes
 
+BODY_LIMIT = 2048
 
-def test_chunk_is_sent_before_the_next_one_is_made():
-    """The server's default holds a stream back until it has 4,096 bytes."""
-    port = processes.find_free_port()
+
+@pytest.fixture
+def router():
+    return http_server.Router()
+
+
+@pytest.fixture
+def port(router):
+    """Port of a server that serves the router."""
+    number = processes.find_free_port()
     platform = dict.fromkeys(('log', 'instances', 'weights'), 'http://x')
-    text = builders.make_settings('a1', 'a', port, 0, platform)
-    router = http_server.Router()
+    text = builders.make_settings(
+        'a1', 'a', number, 0, platform, limits={'request_bytes': BODY_LIMIT}
+    )
     server = http_server.HttpServer(settings.parse(text), router)
+    server.start()
+    yield number
+    server.stop()
+
+
+def exchange(port, data):
+    """Sends bytes; returns all that comes back until the end."""
+    with socket.create_connection(
+        ('127.0.0.1', port), timeout=processes.WAIT_S
+    ) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        found = b''
+        while chunk := connection.recv(65536):
+            found += chunk
+    return found
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'Content-Length: 0\r\nContent-Length: 44\r\n',
+        b'Content-Length: 44, 0\r\n',
+        b'Content-Length: +0\r\n',
+        b'Content-Length: 44\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n',
+        b'Transfer-Encoding: \x0bchunked\r\n',
+    ],
+)
+def test_request_hidden_in_a_body_is_not_run(router, port, head):
+    """Guards against a second request in a body of disputed length."""
+    seen = []
+
+    def answer(request):
+        seen.append(request.target)
+        return http_server.Response()
+
+    router.add('*', '/{path*}', answer)
+    hidden = b'GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n'
+    sent = b'POST /x HTTP/1.1\r\nHost: a\r\n' + head + b'\r\n' + hidden
+    assert exchange(port, sent).startswith(b'HTTP/1.1 400')
+    assert seen == []
+
+
+def test_target_and_headers_are_kept_as_they_were_sent(router, port):
+    """Guards against a request that reaches a target changed."""
+    seen = []
+
+    def answer(request):
+        seen.append((request.target, dict(request.raw_headers)['X-Name']))
+        return http_server.Response()
+
+    router.add('*', '/{path*}', answer)
+    exchange(
+        port, b'GET /a%2fb/../c?q=%41 HTTP/1.1\r\nHost: a\r\nX-Name: Y\r\n\r\n'
+    )
+    assert seen == [('/a%2fb/../c?q=%41', 'Y')]
+
+
+def test_too_large_body_is_refused(router, port):
+    """Guards against memory taken by one caller."""
+    router.add('*', '/{path*}', lambda _: http_server.Response())
+    length = b'%d' % (BODY_LIMIT + 1)
+    found = exchange(
+        port,
+        b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: '
+        + length
+        + b'\r\n\r\n',
+    )
+    assert found.startswith(b'HTTP/1.1 413')
+
+
+def test_chunk_is_sent_before_the_next_one_is_made(router, port):
+    """The server's default holds a stream back until it has 4,096 bytes."""
     is_read = eventlet.event.Event()
 
     def iter_body():
@@ -24,7 +110,6 @@
         yield b'second\n'
 
     router.add('GET', '/', lambda _: http_server.Response(body=iter_body()))
-    server.start()
     client = eventlet.import_patched('http.client')
     connection = client.HTTPConnection(
         '127.0.0.1', port, timeout=processes.WAIT_S
@@ -34,4 +119,3 @@
     assert response.readline() == b'first\n'
     is_read.send()
     assert response.read() == b'second\n'
-    server.stop()
--- /dev/null
+++ b/tests/lib/fake_store.py
@@ -0,0 +1,96 @@
+"""A store in memory with outages, refusals, lost answers and late appends."""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+import eventlet
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal import exceptions
+
+
+class Fault(enum.Enum):
+    """What happens to one append."""
+
+    REFUSED = 'refused'
+    LOST_ANSWER = 'lost_answer'
+    LATE = 'late'
+
+
+class FakeStore(base.RecordStore):
+    """Keeps records by stream; the next appends fail as ``faults`` say."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = collections.defaultdict(list)
+        self.oldest: dict[str, int] = collections.defaultdict(int)
+        self.faults: list[Fault | None] = []
+        self.late: list[tuple[str, list[bytes]]] = []
+        self.is_down = False
+        self.reads = 0
+
+    def append(self, stream, bodies):
+        """See the base class."""
+        fault = self.faults.pop(0) if self.faults else None
+        if self.is_down or fault is Fault.REFUSED:
+            raise exceptions.LogUnavailableError('refused')
+        if fault is Fault.LATE:
+            self.late.append((stream, list(bodies)))
+            raise exceptions.LogAnswerLostError('no answer')
+        offset = len(self.streams[stream])
+        self.streams[stream].extend(bodies)
+        if fault is Fault.LOST_ANSWER:
+            raise exceptions.LogAnswerLostError('no answer')
+        return offset
+
+    def carry_out_late(self):
+        """Carries the late appends out."""
+        for stream, bodies in self.late:
+            self.streams[stream].extend(bodies)
+        self.late.clear()
+
+    def trim(self, stream, before):
+        """Drops the records before an offset."""
+        self.oldest[stream] = before
+
+    def read(self, stream, start, *, wait_s=0.0, limit_bytes=262_144):
+        """See the base class."""
+        self.reads += 1
+        if self.is_down:
+            raise exceptions.LogUnavailableError('down')
+        if start < self.oldest[stream]:
+            raise exceptions.LogTrimmedError('gone', self.oldest[stream])
+        records, size = [], 0
+        for offset in range(start, len(self.streams[stream])):
+            body = self.streams[stream][offset]
+            size += len(body)
+            if records and size > limit_bytes:
+                break
+            records.append(base.RawRecord(offset, body))
+        if not records and wait_s:
+            eventlet.sleep(min(wait_s, 0.01))
+        return base.RawPage(tuple(records), len(self.streams[stream]))
+
+    def read_newest(self, stream):
+        """See the base class."""
+        if self.is_down:
+            raise exceptions.LogUnavailableError('down')
+        newest = {}
+        for body in self.streams[stream]:
+            record = self.decode_keyed(body)
+            newest[record.key] = record
+        found = [r for r in newest.values() if r.value is not None]
+        return found, len(self.streams[stream])
+
+    def decode_keyed(self, body):
+        """See the base class."""
+        if not body:
+            raise exceptions.UnreadableRecordError('no key')
+        end = 1 + body[0]
+        return base.KeyedRecord(body[1:end].decode(), body[end:] or None)
+
+
+def encode_keyed(key: str, value: bytes = b'') -> bytes:
+    """Record of a keyed stream; no value drops the key."""
+    return bytes([len(key)]) + key.encode() + value
--- /dev/null
+++ b/tests/unit/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of directory to targets."""
--- /dev/null
+++ b/tests/unit/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of gateway to targets."""
--- /dev/null
+++ b/tests/unit/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of jobs to targets."""
--- /dev/null
+++ b/tests/unit/jobs/test_scheduling.py
@@ -0,0 +1,132 @@
+"""Where items run, by patterns of load."""
+
+from lentildeal._internal.jobs import scheduling
+from tests.lib import job_builders
+
+NEED = scheduling.Need(min_version=5)
+
+
+def order(*items):
+    keys = [scheduling.order_key(**item) for item in items]
+    return sorted(range(len(items)), key=lambda n: keys[n])
+
+
+def make_key(**overrides):
+    return {
+        'job_rank': 0,
+        'is_carried': False,
+        'expected_events': 10.0,
+        'left_in_group': 4,
+        **overrides,
+    }
+
+
+def test_groups_that_come_again_run_first():
+    # Pattern: a step waits for carried groups whatever else is complete.
+    assert order(
+        make_key(expected_events=90.0), make_key(is_carried=True)
+    ) == [1, 0]
+
+
+def test_longest_items_run_first():
+    # Pattern: more items than slots; a straggler that starts last ends last.
+    assert order(
+        make_key(expected_events=5.0), make_key(expected_events=80.0)
+    ) == [1, 0]
+
+
+def test_older_job_of_a_trainer_runs_first():
+    # Pattern: a trainer asks ahead while its step is late.
+    assert order(make_key(job_rank=1, expected_events=80.0), make_key()) == [
+        1,
+        0,
+    ]
+
+
+def test_replica_with_an_old_version_is_not_chosen():
+    # Guards against a sample below the version that its job accepts.
+    old = job_builders.make_candidate('old', version=4)
+    assert scheduling.choose_replica(NEED, [old]) is None
+
+
+def test_full_replicas_make_an_item_wait():
+    # Guards against queues at engines, which know no order.
+    full = job_builders.make_candidate('full', version=5, free_slots=0)
+    assert scheduling.choose_replica(NEED, [full]) is None
+
+
+def test_slow_replica_gets_an_item_only_if_others_are_full():
+    # Pattern: one replica is three times slower than the others.
+    slow = job_builders.make_candidate('slow', version=5, pace_s=0.12)
+    fast = job_builders.make_candidate(
+        'fast', version=5, free_slots=1, pace_s=0.04
+    )
+    full = job_builders.make_candidate(
+        'fast', version=5, free_slots=0, pace_s=0.04
+    )
+    assert scheduling.choose_replica(NEED, [slow, fast]).replica_id == 'fast'
+    assert scheduling.choose_replica(NEED, [slow, full]).replica_id == 'slow'
+
+
+def test_load_decides_among_replicas_of_about_the_same_pace():
+    # Guards against herding on the replica that measured fastest.
+    one = job_builders.make_candidate(
+        'one', version=5, free_slots=1, pace_s=0.038
+    )
+    two = job_builders.make_candidate(
+        'two', version=5, free_slots=3, pace_s=0.042
+    )
+    assert scheduling.choose_replica(NEED, [one, two]).replica_id == 'two'
+
+
+def test_single_version_goes_on_at_that_version_only():
+    # Guards against a sample of two versions on a single-version route.
+    need = scheduling.Need(min_version=5, only_version=5)
+    newer = job_builders.make_candidate('newer', version=6)
+    same = job_builders.make_candidate('same', version=5)
+    assert scheduling.choose_replica(need, [newer]) is None
+    assert scheduling.choose_replica(need, [newer, same]).replica_id == 'same'
+
+
+def should_move(run_pace_s, candidates, **overrides):
+    values = {
+        'need': NEED,
+        'run_pace_s': run_pace_s,
+        'run_events': 10,
+        'expected_left': 50.0,
+        'moves': 0,
+        'current': 'slow',
+        'candidates': candidates,
+        **overrides,
+    }
+    return scheduling.should_move(**values)
+
+
+def test_run_is_moved_from_a_slow_replica():
+    # Pattern: a replica turns slow while a straggler runs on it.
+    fast = job_builders.make_candidate('fast', version=5, pace_s=0.04)
+    assert should_move(0.12, [fast])
+    assert not should_move(0.05, [fast])
+
+
+def test_run_is_not_moved_without_gain():
+    # Guards against moving runs back and forth.
+    fast = job_builders.make_candidate('fast', version=5, pace_s=0.04)
+    full = job_builders.make_candidate(
+        'fast', version=5, pace_s=0.04, free_slots=0
+    )
+    old = job_builders.make_candidate('fast', version=4, pace_s=0.04)
+    unknown = job_builders.make_candidate('fast', version=5)
+    assert not should_move(0.12, [fast], moves=scheduling.MAX_MOVES)
+    assert not should_move(0.12, [fast], expected_left=2.0)
+    assert not should_move(0.12, [fast], run_events=2)
+    assert not should_move(0.12, [full])
+    assert not should_move(0.12, [old])
+    assert not should_move(0.12, [unknown])
+
+
+def test_silence_is_judged_by_the_pace_of_the_replica():
+    # Pattern: connections go silent for good without a reset.
+    assert scheduling.is_silent(silence_s=1.1, has_event=False, pace_s=None)
+    assert scheduling.is_silent(silence_s=0.7, has_event=True, pace_s=0.04)
+    assert not scheduling.is_silent(silence_s=0.7, has_event=True, pace_s=0.15)
--- /dev/null
+++ b/tests/unit/jobs/test_table.py
@@ -0,0 +1,107 @@
+"""The fold of the work log: every daemon gets the same positions."""
+
+import random
+
+from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import table
+from tests.lib import job_builders
+
+
+def fold(*found):
+    result = table.JobTable()
+    for record in found:
+        result.apply(record)
+    return result
+
+
+def test_repeated_submission_keeps_the_first_job():
+    # Guards against a second acceptance after an answer was lost.
+    first = job_builders.make_accepted(step=1)
+    folded = fold(first, job_builders.make_accepted(step=2))
+    assert folded.get('job').head.step == 1
+
+
+def test_second_result_of_an_item_is_ignored():
+    # Guards against two positions for one item when two daemons ran it.
+    folded = fold(
+        job_builders.make_accepted(),
+        job_builders.make_result(index=1, offset=5),
+        job_builders.make_result(index=1, offset=9),
+    )
+    (listed,) = folded.get('job').results
+    assert listed.place.offset == 5
+
+
+def test_positions_do_not_depend_on_repeated_and_late_records():
+    # Guards against daemons that disagree on positions.
+    rng = random.Random(7)
+    clean = [job_builders.make_accepted(item_ids=('a', 'b', 'c', 'd'))]
+    clean += [job_builders.make_result(index=i, offset=i) for i in range(4)]
+    expected = [r.index for r in fold(*clean).get('job').results]
+    for _ in range(50):
+        noisy = []
+        for position, record in enumerate(clean):
+            noisy.append(record)
+            noisy += rng.choices(clean[: position + 1], k=rng.randint(0, 2))
+        got = [r.index for r in fold(*noisy).get('job').results]
+        assert got == expected
+
+
+def test_result_before_its_job_or_of_no_item_is_ignored():
+    # Guards against a position without an item.
+    folded = fold(
+        job_builders.make_result(index=0),
+        job_builders.make_accepted(),
+        job_builders.make_result(index=2),
+        job_builders.make_result(index=-1),
+    )
+    assert not folded.get('job').results
+
+
+def test_end_closes_a_job_and_keeps_what_is_listed():
+    # Guards against results that disappear with the end of their job.
+    folded = fold(
+        job_builders.make_accepted(),
+        job_builders.make_result(index=0),
+        records.JobEnd('job'),
+    )
+    assert not folded.get('job').is_open
+    assert len(folded.get('job').results) == 1
+
+
+def test_shorter_checkpoint_does_not_replace_a_longer_one():
+    # Guards against lost progress when an old append is carried out late.
+    folded = fold(
+        job_builders.make_accepted(),
+        records.Checkpoint('job', 0, (1,), 9, '9', 3, 8),
+        records.Checkpoint('job', 0, (1,), 4, '4', 1, 8),
+    )
+    assert folded.get('job').checkpoints[0].event_count == 9
+
+
+def test_checkpoint_and_result_of_an_earlier_job_are_found():
+    # Guards against generating a group anew that comes again.
+    folded = fold(
+        job_builders.make_accepted('old', ('i0', 'i1')),
+        job_builders.make_result('old', 0, offset=5),
+        records.Checkpoint('old', 1, (1,), 4, '4', 1, 8),
+        records.JobEnd('old'),
+        job_builders.make_accepted('new', ('i0', 'i1')),
+    )
+    assert folded.find_done('i0')[0] == 'old'
+    assert folded.find_checkpoint('i1').event_count == 4
+    assert folded.is_carried('i1', 'new')
+    assert not folded.is_carried('i1', 'old')
+
+
+def test_old_jobs_are_forgotten_with_their_items():
+    # Guards against memory that grows with the age of the daemon.
+    folded = fold(
+        job_builders.make_accepted('old', submitted_ms=1),
+        job_builders.make_result('old', 0),
+        job_builders.make_accepted('new', ('x',), submitted_ms=9),
+    )
+    assert folded.drop_submitted_before(5) == 1
+    assert folded.get('old') is None
+    assert folded.find_done('i0') is None
+    assert folded.get('new') is not None
--- /dev/null
+++ b/tests/unit/jobs/test_work_log.py
@@ -0,0 +1,155 @@
+"""The work log under refused, lost and late appends."""
+
+import types
+
+import eventlet
+import pytest
+
+from lentildeal._internal.directory import replicas
+from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import work_log
+from tests.lib import fake_store
+from tests.lib import job_builders
+
+Fault = fake_store.Fault
+
+
+class Kernel:
+    """Kernel with a directory whose store is a fake."""
+
+    def __init__(self, store):
+        self.settings = types.SimpleNamespace(
+            instance='a',
+            store=types.SimpleNamespace(
+                call_bytes=2_000_000, record_bytes=262_144, status_s=120
+            ),
+        )
+        self.incarnation = 1
+        self.directory = types.SimpleNamespace(
+            platform=types.SimpleNamespace(store=store),
+            replicas=replicas.ReplicaTable(),
+        )
+        self.threads = []
+
+    def plugin(self, name):
+        return getattr(self, name)
+
+    def spawn(self, name, function, *arguments):
+        self.threads.append(eventlet.spawn(function, *arguments))
+
+
+@pytest.fixture
+def store():
+    return fake_store.FakeStore()
+
+
+@pytest.fixture
+def log(store):
+    kernel = Kernel(store)
+    result = work_log.WorkLog(kernel)
+    result.start()
+    yield result
+    for thread in kernel.threads:
+        thread.kill()
+
+
+def wait_for(condition):
+    with eventlet.Timeout(10.0):
+        while not condition():
+            eventlet.sleep(0.005)
+
+
+def entry_of(log):
+    return log.table.get('job')
+
+
+def list_result(log, index=0, events=('one', 'two')):
+    log.enqueue(records.ItemResult('job', index, 'done', (1,)), events)
+
+
+@pytest.mark.parametrize('fault', list(Fault))
+@pytest.mark.parametrize('failing', [0, 1, 2])
+def test_result_is_listed_once_whatever_append_fails(
+    store, log, fault, failing
+):
+    # Guards against lost and doubled results when the store refuses an
+    # append, loses its answer or carries it out late.
+    log.append([job_builders.make_accepted()])
+    store.faults = [None] * failing + [fault]
+    list_result(log)
+    wait_for(lambda: entry_of(log) and entry_of(log).results)
+    store.carry_out_late()
+    list_result(log, events=('other',))
+    list_result(log, 1, ('last',))
+    wait_for(lambda: entry_of(log).is_whole)
+    first, _ = log.read_texts([r.place for r in entry_of(log).results])
+    assert first.text == 'one\ntwo'
+
+
+def test_records_queued_in_an_outage_are_appended_after_it(store, log):
+    # Guards against results lost with an outage of the store.
+    log.append([job_builders.make_accepted()])
+    store.is_down = True
+    list_result(log)
+    eventlet.sleep(0.2)
+    assert log.queued_count
+    store.is_down = False
+    wait_for(lambda: entry_of(log) and entry_of(log).results)
+
+
+def test_outage_restarts_the_time_since_when_the_log_is_heard(
+    store, log, monkeypatch
+):
+    # Guards against claims of duties right after an outage.
+    monkeypatch.setattr(work_log, 'GAP_S', 0.1)
+    wait_for(lambda: log.is_caught_up)
+    before_s = log.heard_since_s
+    store.is_down = True
+    eventlet.sleep(0.3)
+    store.is_down = False
+    wait_for(lambda: log.heard_since_s > before_s + 0.1)
+
+
+def test_log_is_read_on_from_the_oldest_record_left(store, log):
+    # Guards against a follower that hangs after records were dropped.
+    wait_for(lambda: log.is_caught_up)
+    store.is_down = True
+    eventlet.sleep(0.05)
+    store.streams[records.WORK_STREAM] += [b'dropped'] * 5
+    store.trim(records.WORK_STREAM, 5)
+    store.is_down = False
+    log.append([job_builders.make_accepted()])
+    wait_for(lambda: entry_of(log))
+
+
+def test_neighbouring_texts_are_one_read(store, log):
+    # Guards against a call to the store for each result of a page.
+    log.append([job_builders.make_accepted(item_ids=tuple('abcdefgh'))])
+    wait_for(lambda: entry_of(log))
+    places = log.append_texts(
+        records.text_stream('job'),
+        [records.EventTexts((f'text {n}',)) for n in range(8)],
+    )
+    fresh = work_log.WorkLog(Kernel(store))
+    store.reads = 0
+    texts = fresh.read_texts(places)
+    assert [text.text for text in texts] == [f'text {n}' for n in range(8)]
+    assert store.reads == 1
+
+
+def test_texts_larger_than_the_cache_are_read_whole(store, log, monkeypatch):
+    # Guards against a text that is evicted while the others are read.
+    monkeypatch.setattr(work_log, 'CACHE_BYTES', 100)
+    places = log.append_texts(
+        records.text_stream('job'),
+        [records.EventTexts(('x' * 40,)) for _ in range(8)],
+    )
+    assert len(log.read_texts([places[7], *places[:7]])) == 8
+
+
+def test_missing_text_is_an_error(store, log):
+    # Guards against a page of results with a gap.
+    place = records.Place(records.text_stream('job'), 3, 8)
+    with pytest.raises(exceptions.LogUnavailableError):
+        log.read_texts([place])
--- /dev/null
+++ b/tests/unit/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs to targets."""
--- /dev/null
+++ b/tests/unit/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of platform to targets."""
