Run daemons against stand-ins of the platform's store and replicas

Change: stand-ins of the store (refused, lost and late appends) and of replicas (cut, foreign, failed and refused answers), and 17 tests with real processes: kills, planned stops, outages, lost answers, versions, drains.

--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store and its replicas."""
--- /dev/null
+++ b/standins/platform/replica.py
@@ -0,0 +1,112 @@
+"""Stand-in of a replica: an engine that streams, or a plain service."""
+
+from __future__ import annotations
+
+import argparse
+import typing
+
+import eventlet
+
+from standins import common
+
+REQUEST_ID = 'Lentildeal-Request-Id'
+VERSIONS = 'Lentildeal-Weight-Versions'
+LOAD_S = 0.2
+
+
+class Replica(common.StandIn):
+    """One replica. The text of an item depends on its id alone."""
+
+    # cut: the stream breaks off after three events; fail: 500; foreign: the
+    # answer names another request; full: 503, not run.
+    fault_defaults = {'cut': 0, 'fail': 0, 'foreign': 0, 'full': 0}
+
+    def __init__(self, arguments: argparse.Namespace) -> None:
+        super().__init__(arguments)
+        self._versions = dict.fromkeys(arguments.models.split(','), 1)
+        self._orders: list[dict] = []
+        self._runs: list[dict] = []
+        self._busy = False
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """See the base class."""
+        parser.add_argument('--replica-id', default='r1')
+        parser.add_argument('--models', default='model')
+        parser.add_argument('--events', type=int, default=10)
+        parser.add_argument('--event-ms', type=int, default=20)
+
+    def journal(self) -> dict:
+        """Runs and orders, in order of arrival."""
+        return {'runs': self._runs, 'orders': self._orders}
+
+    def handle(self, request: common.Request) -> common.Answer:
+        """See the base class."""
+        expected = request.headers.get('lentildeal-expect-instance')
+        if expected not in (None, self.arguments.replica_id):
+            return common.Answer(421)
+        if request.path == '/report':
+            return common.json_answer(self._report())
+        if request.path == '/order':
+            return self._order(request.read_json())
+        return self._run(request)
+
+    def _report(self) -> dict:
+        return {
+            'Models': [
+                {'Name': name, 'Version': version, 'Adapters': []}
+                for name, version in self._versions.items()
+            ],
+            'Busy': self._busy,
+            'Sequence': len(self._orders),
+        }
+
+    def _order(self, order: dict) -> common.Answer:
+        if self._busy or order['Expect'] != len(self._orders):
+            return common.Answer(409)
+        if any(o['Fence'] > order['Fence'] for o in self._orders):
+            return common.Answer(412)
+        self._orders.append(order)
+        self._busy = True
+        eventlet.spawn_after(LOAD_S, self._load, order)
+        return common.Answer(202)
+
+    def _load(self, order: dict) -> None:
+        self._versions[order['Model']] = order['Version']
+        self._busy = False
+
+    def _run(self, request: common.Request) -> common.Answer:
+        request_id = request.headers.get(REQUEST_ID.lower(), '')
+        if self.faults.fires('full'):
+            return common.Answer(503, {'Lentildeal-Not-Executed': '1'})
+        last = request.headers.get('last-event-id')
+        self._runs.append(
+            {'id': request_id, 'after': last, 'path': request.path}
+        )
+        if self.faults.fires('foreign'):
+            request_id = 'another'
+        headers = {REQUEST_ID: request_id, 'Lentildeal-Response-Stamp': 's'}
+        if self.faults.fires('fail'):
+            return common.Answer(500, headers)
+        model = request.headers.get('lentildeal-model')
+        if model is None:
+            return common.Answer(200, headers, b'plain ' + request.body)
+        headers[VERSIONS] = str(self._versions[model])
+        headers['Content-Type'] = 'text/event-stream'
+        start = 0 if last is None else int(last) + 1
+        return common.Answer(200, headers, self._stream(request, start))
+
+    def _stream(
+        self, request: common.Request, start: int
+    ) -> typing.Iterator[bytes]:
+        is_cut = self.faults.fires('cut')
+        request_id = request.headers[REQUEST_ID.lower()]
+        for number in range(start, self.arguments.events):
+            if is_cut and number >= start + 3:
+                request.break_connection()
+            eventlet.sleep(self.arguments.event_ms / 1000)
+            yield f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+
+
+if __name__ == '__main__':
+    common.run(Replica)
--- /dev/null
+++ b/tests/functional/test_platform.py
@@ -0,0 +1,257 @@
+"""Daemons on the platform's stand-ins, as separate processes."""
+
+import concurrent.futures
+import signal
+import time
+
+import pytest
+
+from tests.lib import platform_world
+from tests.lib import processes
+
+ITEMS = tuple(f'item{number}' for number in range(12))
+# Time in which the stand-ins make ten events.
+FIRST_EVENTS_S = 0.3
+HOST = platform_world.HOST
+
+
+@pytest.fixture
+def launcher():
+    with processes.Launcher() as result:
+        yield result
+
+
+def find_holder(world, duty=f'jobs/{platform_world.MODEL}'):
+    """Daemon that claimed a duty last."""
+
+    def look():
+        claims = [
+            (event['term'], daemon)
+            for daemon in world.daemons
+            for event in daemon.read_events('duty_claimed')
+            if event['duty'] == duty
+        ]
+        return max(claims, key=lambda claim: claim[0], default=None)
+
+    return processes.wait_for(look, f'a holder of {duty}')[1]
+
+
+def check_results(results, items=ITEMS, events=10):
+    """Each item once, whole, by version 1."""
+    assert sorted(r['Id'] for r in results) == sorted(items)
+    for result in results:
+        assert result['State'] == 'done'
+        assert result['Versions'] == [1]
+        assert result['Text'] == platform_world.expected_text(
+            result['Id'], events
+        )
+
+
+def test_job_is_the_same_at_every_daemon(launcher):
+    """Guards against daemons that disagree on a job or its results."""
+    world = platform_world.World(launcher)
+    first, second, third = world.daemons
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(first, 'job', job) == 202
+    assert platform_world.submit(second, 'job', job) == 202
+    status, body = third.call('GET', '/items/job?Id=item3', Host=HOST)
+    assert (status, body) in ((200, b'item3'),)
+    results = world.read_all(second, 'job')
+    check_results(results)
+    assert world.read_all(third, 'job') == results
+    for _ in range(2):
+        assert third.call('DELETE', '/lots/job', Host=HOST)[0] == 200
+    assert world.read_all(first, 'job') == results
+    assert first.call('GET', '/lots/none', Host=HOST)[0] == 404
+
+
+def test_results_survive_the_end_of_all_daemons(launcher):
+    """Guards against state that is only in the memory of daemons."""
+    world = platform_world.World(launcher)
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(world.daemons[0], 'job', job) == 202
+    results = world.read_all(world.daemons[1], 'job')
+    for daemon in world.daemons:
+        daemon.kill()
+    again = world.start_daemon('n9')
+    processes.wait_for(again.is_ready, 'the new daemon is ready')
+    assert world.read_all(again, 'job') == results
+    assert platform_world.submit(again, 'job', job) == 202
+
+
+def test_job_goes_on_after_its_holder_was_killed(launcher):
+    """Guards against a step that ends with the daemon that runs it."""
+    world = platform_world.World(launcher, events=60)
+    holder = find_holder(world)
+    other = next(d for d in world.daemons if d is not holder)
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(holder, 'job', job) == 202
+    processes.wait_for(lambda: holder.read_events('item_started'), 'items run')
+    holder.kill()
+    check_results(world.read_all(other, 'job'), events=60)
+
+
+def test_planned_stop_hands_a_job_over_with_its_progress(launcher):
+    """Guards against work that is done again after a planned stop."""
+    world = platform_world.World(launcher, events=80)
+    holder = find_holder(world)
+    other = next(d for d in world.daemons if d is not holder)
+    job = platform_world.make_job(ITEMS[:4])
+    assert platform_world.submit(other, 'job', job) == 202
+    processes.wait_for(
+        lambda: len(holder.read_events('item_started')) >= 4, 'items run'
+    )
+    # Only an item with an event can be resumed.
+    begun_s = time.monotonic()
+    processes.wait_for(
+        lambda: time.monotonic() > begun_s + FIRST_EVENTS_S, 'events come'
+    )
+    holder.signal(signal.SIGTERM)
+    check_results(world.read_all(other, 'job'), ITEMS[:4], events=80)
+    assert holder.wait() == 0
+    runs = [run for e in world.engines for run in e.read_journal()['runs']]
+    resumed = [run for run in runs if run['after'] is not None]
+    assert len(resumed) >= 4
+
+
+@pytest.mark.parametrize('fault', ['cut', 'foreign', 'full'])
+def test_broken_runs_give_whole_texts(launcher, fault):
+    """Guards against texts with gaps, doubled events or foreign answers."""
+    world = platform_world.World(launcher, daemons=1)
+    for engine in world.engines:
+        engine.set_faults(**{fault: 4})
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(world.daemons[0], 'job', job) == 202
+    check_results(world.read_all(world.daemons[0], 'job'))
+
+
+def test_item_that_always_fails_is_given_up(launcher):
+    """Guards against an item that is tried for ever."""
+    world = platform_world.World(launcher, daemons=1, engines=1)
+    world.engines[0].set_faults(fail=100)
+    job = platform_world.make_job(['bad'])
+    assert platform_world.submit(world.daemons[0], 'job', job) == 202
+    (result,) = world.read_all(world.daemons[0], 'job')
+    assert result['State'] == 'down'
+    assert len(world.engines[0].read_journal()['runs']) == 3
+
+
+@pytest.mark.parametrize(
+    'fault', ['lose_answers', 'late_appends', 'refuse_appends']
+)
+def test_job_is_accepted_once_whatever_the_store_does(launcher, fault):
+    """Guards against a false refusal and against a second acceptance."""
+    world = platform_world.World(launcher)
+    world.store.set_faults(**{fault: 2})
+    job = platform_world.make_job(ITEMS)
+    with concurrent.futures.ThreadPoolExecutor() as pool:
+        statuses = list(
+            pool.map(
+                lambda daemon: platform_world.submit(daemon, 'job', job),
+                world.daemons,
+            )
+        )
+    assert set(statuses) <= {202, 504}
+    assert 202 in statuses
+    check_results(world.read_all(world.daemons[0], 'job'))
+
+
+def test_store_that_is_down_means_a_refusal(launcher):
+    """Guards against a job that is accepted without being stored."""
+    world = platform_world.World(launcher, daemons=1)
+    world.store.set_faults(down=True)
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(world.daemons[0], 'job', job) == 503
+    assert (
+        world.daemons[0].call(
+            'POST', '/desk/1', Host=HOST, Lentildeal_Request_Id='c1'
+        )[0]
+        == 200
+    )
+    world.store.set_faults(down=False)
+    daemon = world.daemons[0]
+    processes.wait_for(
+        lambda: daemon.call('GET', '/lots/job', Host=HOST)[0] == 404,
+        'the daemon is sure that there is no such job',
+    )
+
+
+def test_invalid_job_is_refused_with_its_fault(launcher):
+    """Guards against a job that no daemon can run."""
+    world = platform_world.World(launcher, daemons=1)
+    job = platform_world.make_job(ITEMS)
+    del job['Entries'][3]['Path']
+    status, problem = world.daemons[0].call(
+        'POST',
+        '/rollouts/job',
+        job,
+        Host=HOST,
+        Lentildeal_Request_Id='job',
+    )
+    assert status == 400
+    assert 'item3' in problem['detail'] and 'Path' in problem['detail']
+
+
+def test_named_version_is_loaded_by_one_holder(launcher):
+    """Guards against orders of two holders and against idle replicas."""
+    world = platform_world.World(launcher, engines=2)
+    world.name_version(2)
+
+    def is_loaded():
+        orders = [
+            order
+            for engine in world.engines
+            for order in engine.read_journal()['orders']
+        ]
+        return [o for o in orders if o['Version'] == 2] or None
+
+    orders = processes.wait_for(is_loaded, 'a replica is ordered')
+    assert len({order['Holder'] for order in orders}) == 1
+    assert len({order['Fence'] for order in orders}) == 1
+    job = platform_world.make_job(ITEMS, min_version=2)
+    assert platform_world.submit(world.daemons[0], 'job', job) == 202
+    results = world.read_all(world.daemons[0], 'job')
+    assert {tuple(r['Versions']) for r in results} == {(2,)}
+
+
+def test_answer_of_another_request_is_not_passed_on(launcher):
+    """Guards against a caller that gets the answer of another one."""
+    world = platform_world.World(launcher, daemons=1)
+    world.plain.set_faults(foreign=1)
+    status, _ = world.daemons[0].call(
+        'POST', '/once/1', Host=HOST, Lentildeal_Request_Id='c1'
+    )
+    assert status == 504
+    assert [r['id'] for r in world.plain.read_journal()['runs']] == ['c1']
+
+
+def test_unknown_route_is_404_and_a_new_one_is_served(launcher):
+    """Guards against a text that does not come into force."""
+    world = platform_world.World(launcher, daemons=1)
+    daemon = world.daemons[0]
+
+    def status():
+        return daemon.call(
+            'POST', '/new/1', Host=HOST, Lentildeal_Request_Id='c2'
+        )[0]
+
+    assert status() == 404
+    route = platform_world.make_route('new', '/new/', 'safe', 'desk')
+    world.write_text(2, [route])
+    processes.wait_for(lambda: status() == 200, 'the new route is served')
+
+
+def test_leaving_replica_gets_no_more_calls(launcher):
+    """Guards against calls to a replica that has announced its stop."""
+    world = platform_world.World(launcher, daemons=1)
+    daemon = world.daemons[0]
+    world.write_replica('p0', 'desk', world.plain.address, {}, 'draining')
+    processes.wait_for(
+        lambda: (
+            daemon.call(
+                'POST', '/desk/1', Host=HOST, Lentildeal_Request_Id='c3'
+            )[0]
+            == 503
+        ),
+        'the replica is left alone',
+    )
--- /dev/null
+++ b/tests/lib/platform_world.py
@@ -0,0 +1,237 @@
+"""Daemons, store and replicas of a platform deployment as processes."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+import typing
+import urllib.request
+
+from tests.lib import processes
+
+MODEL = 'model'
+HOST = 'club.example'
+LENGTH = struct.Struct('>I')
+
+
+class StoreDaemon(processes.Process):
+    """One daemon that uses the stand-in of the store."""
+
+    def __init__(self, instance, store_address, directory, port=None) -> None:
+        port = port or processes.find_free_port()
+        self.arguments = instance, store_address, directory, port
+        settings = {
+            'instance': instance,
+            'failure_domain': 'd1',
+            'http_address': f'127.0.0.1:{port}',
+            'ready_address': f'127.0.0.1:{processes.find_free_port()}',
+            'store': {'address': store_address},
+            'timing': {'leave_ms': 500, 'drain_ms': 3000},
+        }
+        self.ready_url = f'http://{settings["ready_address"]}'
+        path = directory / f'{instance}.jsonc'
+        path.write_text(json.dumps(settings))
+        super().__init__(
+            instance, [processes.DAEMON, str(path)], directory, port
+        )
+
+    def is_ready(self) -> bool:
+        """Whether the readiness check answers 200."""
+        if self.exit_status is not None:
+            raise RuntimeError(f'{self.name} ended: {self.errors[-2000:]}')
+        try:
+            return processes.call('GET', f'{self.ready_url}/ready')[0] == 200
+        except OSError:
+            return False
+
+    def read_events(self, name: str = '') -> list[dict]:
+        """Log lines of an event, or all."""
+        found = []
+        for line in self.output_path.read_text().splitlines():
+            if line.startswith('{'):
+                event = json.loads(line)
+                if name in ('', event['event']):
+                    found.append(event)
+        return found
+
+
+class World:
+    """A deployment of some daemons, engines and one plain replica."""
+
+    def __init__(self, launcher, daemons=3, engines=2, **engine_options):
+        self._launcher = launcher
+        self.store = launcher.start_stand_in('platform.store')
+        self.engines = []
+        for number in range(engines):
+            options = {'models': MODEL, **engine_options}
+            self.add_engine(f'r{number}', **options)
+        self.plain = launcher.start_stand_in(
+            'platform.replica', '--replica-id', 'p0'
+        )
+        self.write_replica('p0', 'desk', self.plain.address, {})
+        self.write_text()
+        self.daemons = [self.start_daemon(f'n{n}') for n in range(daemons)]
+        for daemon in self.daemons:
+            processes.wait_for(daemon.is_ready, f'{daemon.name} is ready')
+
+    def add_engine(self, replica_id, **options) -> processes.Process:
+        """Starts an engine and writes its entry."""
+        words = [
+            word
+            for name, value in options.items()
+            for word in (f'--{name.replace("_", "-")}', value)
+        ]
+        engine = self._launcher.start_stand_in(
+            'platform.replica', '--replica-id', replica_id, *words
+        )
+        self.engines.append(engine)
+        self.write_replica(replica_id, 'engines', engine.address, {MODEL: 1})
+        return engine
+
+    def start_daemon(self, instance, port=None) -> StoreDaemon:
+        """Starts a daemon."""
+        return self._launcher.add(
+            StoreDaemon(
+                instance,
+                self.store.address,
+                self._launcher.directory,
+                port,
+            )
+        )
+
+    def write(self, stream: str, key: str, value: typing.Any) -> None:
+        """Writes a keyed record; None drops the key."""
+        text = b'' if value is None else json.dumps(value).encode()
+        record = bytes([len(key)]) + key.encode() + text
+        request = urllib.request.Request(
+            f'{self.store.url}/log-append?Topic={stream}&part=0',
+            LENGTH.pack(len(record)) + record,
+        )
+        urllib.request.urlopen(request, timeout=10).close()
+
+    def write_replica(
+        self, replica_id, service, address, versions, state='ready'
+    ) -> None:
+        """Writes the entry of a replica."""
+        models = [
+            {'Name': name, 'Version': version, 'Adapters': []}
+            for name, version in versions.items()
+        ]
+        entry = {
+            'Service': service,
+            'Address': address,
+            'Zone': 'd1',
+            'Version': 'v1',
+            'Slots': 4,
+            'State': state,
+            'Models': models,
+            'Sequence': 1,
+            'born': 1,
+        }
+        self.write('keyed.servers', replica_id, entry)
+
+    def write_text(self, version=1, extra_routes=()) -> None:
+        """Writes the published text."""
+        routes = [
+            make_route('rollouts', '/rollouts/', 'rollout', 'engines'),
+            make_route('desk', '/desk/', 'safe', 'desk'),
+            make_route('once', '/once/', 'unsafe', 'desk'),
+            *extra_routes,
+        ]
+        engine = {'Slots': 4, 'Stride': 1, 'Models': [{'Name': MODEL}]}
+        services = [
+            {'Name': 'engines', 'MaxConnections': 50, 'Engine': engine},
+            {'Name': 'desk', 'MaxConnections': 50},
+        ]
+        self.write(
+            'keyed.op',
+            'config',
+            {'Version': version, 'Routes': routes, 'Services': services},
+        )
+
+    def name_version(self, version: int) -> None:
+        """Names a version, as a trainer does."""
+        self.write(
+            'keyed.op',
+            f'version/{MODEL}',
+            {'Model': MODEL, 'Version': version},
+        )
+
+    def read_all(self, daemon, job_id: str) -> list[dict]:
+        """Results of a job, in order; waits until all are listed."""
+        found: list[dict] = []
+
+        def is_whole() -> bool:
+            status, page = daemon.call(
+                'GET',
+                f'/lots/{job_id}?After={len(found)}',
+                Host=HOST,
+                Lentildeal_Wait_Ms='500',
+            )
+            if status == 200:
+                found.extend(page['Results'])
+                return len(found) == page['Total']
+            return False
+
+        processes.wait_for(is_whole, f'results of {job_id}')
+        return found
+
+
+def make_route(name, prefix, kind, service) -> dict:
+    """Route of the published text."""
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': 2000,
+        'TargetLatencyMs': 400,
+        'Priority': 1,
+        'Service': service,
+        'MaxAttempts': 3,
+        'RetentionS': 60.0,
+        'DeadlineMs': 7500,
+    }
+
+
+def make_job(item_ids, min_version=1, **overrides) -> dict:
+    """Submission of a job."""
+    entries = [
+        {
+            'Id': item_id,
+            'Path': f'/rollouts/1/{item_id}',
+            'Headers': {
+                'Lentildeal-Model': MODEL,
+                'Lentildeal-Token-Usage': '10,10',
+            },
+            'Body': base64.b64encode(item_id.encode()).decode(),
+            'Tokens': 20,
+            'Group': f'g{number // 2}',
+        }
+        for number, item_id in enumerate(item_ids)
+    ]
+    return {
+        'Step': 0,
+        'Model': MODEL,
+        'MinVersion': min_version,
+        'BatchGroups': 1,
+        'Entries': entries,
+        **overrides,
+    }
+
+
+def submit(daemon, job_id: str, job: dict) -> int:
+    """Submits a job; returns the status."""
+    return daemon.call(
+        'POST',
+        f'/rollouts/{job_id}',
+        job,
+        Host=HOST,
+        Lentildeal_Request_Id=job_id,
+    )[0]
+
+
+def expected_text(item_id: str, events: int = 10) -> str:
+    """Whole text of an item at the stand-in."""
+    return '\n'.join(f'{item_id}/{number}' for number in range(events))
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -107,6 +107,7 @@
         name: For messages and the file of its standard error.
         port: Port that it serves HTTP on.
         error_path: File with its standard error.
+        output_path: File with the standard output of a daemon.
     """
 
     def __init__(
@@ -119,11 +120,15 @@
         self.name = name
         self.error_path = directory / f'{name}.err'
         path = os.pathsep.join([str(ROOT / 'src'), str(ROOT)])
-        with self.error_path.open('ab') as errors:
+        self.output_path = directory / f'{name}.out'
+        with (
+            self.error_path.open('ab') as errors,
+            self.output_path.open('ab') as output,
+        ):
             self._process = subprocess.Popen(
                 [sys.executable, '-m', *arguments],
                 stdin=subprocess.DEVNULL,
-                stdout=subprocess.DEVNULL if port else subprocess.PIPE,
+                stdout=output if port else subprocess.PIPE,
                 stderr=errors,
                 cwd=ROOT,
                 env={**os.environ, 'PYTHONPATH': path},
