Explain requests from logs; generate the page of log lines

Cause: on-call engineers have logs and metrics only, and no line named a request's story. Statuses of the store that are not documented counted as 'no effect', which would make a refusal false. Change: 'lentildeal explain', docs/logs.md from the registry of events, every line with its instance, and only documented statuses count as no effect.

--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 reference: $(STAMP)
 	$(BIN)/python -W ignore -m lentildeal._internal.config.reference > docs/reference.md
+	$(BIN)/python -W ignore -m lentildeal._internal.logs.page > docs/logs.md
 
 bench: $(STAMP)
 	$(BIN)/python -m bench
--- a/src/lentildeal/_internal/commands/__init__.py
+++ b/src/lentildeal/_internal/commands/__init__.py
@@ -42,6 +42,9 @@
         'status', 'ShowStatus', 'Show the state of a daemon or of all.'
     ),
     'drain': Entry('drain', 'Drain', 'Begin a planned stop of a daemon.'),
+    'explain': Entry(
+        'explain', 'Explain', 'Tell what happened to a request, from logs.'
+    ),
     'report burn': Entry(
         'report_burn', 'ReportBurn', 'Show how fast error budgets burn.'
     ),
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -159,6 +159,9 @@
             events.emit(
                 'job_opened',
                 job=job.entry.head.job_id,
+                term=self._duties.find_term(
+                    duty_keeper.jobs_duty(job.entry.head.model)
+                ),
                 waiting=sum(task.is_waiting for task in loaded),
                 resumed=sum(bool(t.progress.events) for t in loaded),
             )
--- a/src/lentildeal/_internal/kernel/kernel.py
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -101,7 +101,7 @@
             self.peers.start()
         self.http_server.start()
         self._state = KernelState.SERVING
-        events.emit('started', instance=self.settings.instance)
+        events.emit('started')
 
     def run(self) -> None:
         """Serves until a planned stop is done."""
@@ -112,7 +112,7 @@
 
     def drain(self) -> None:
         """Announces the stop, then waits for the work in flight."""
-        events.emit('stopping', instance=self.settings.instance)
+        events.emit('stopping')
         self._state = KernelState.DRAINING
         self.http_server.close_after_response()
         for function in self._leaving_handlers:
@@ -143,7 +143,6 @@
             self.peers.stop()
         events.emit(
             'stopped',
-            instance=self.settings.instance,
             in_flight=self._count_work(),
         )
 
--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -20,6 +20,7 @@
 
 from lentildeal._internal import exceptions  # noqa: E402
 from lentildeal._internal.kernel import kernel  # noqa: E402
+from lentildeal._internal.logs import events  # noqa: E402
 from lentildeal._internal.logs import output  # noqa: E402
 from lentildeal._internal.settings import settings  # noqa: E402
 
@@ -49,6 +50,7 @@
 def _configure_log(loaded: settings.Settings) -> None:
     logger.remove()
     logger.configure(extra={'instance': loaded.instance})
+    events.set_common(instance=loaded.instance)
     if loaded.store is None:
         logger.add(sys.stderr, level=loaded.logging.level, serialize=True)
         return
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -82,6 +82,12 @@
 
 
 _bound = _RateBound()
+_common: dict[str, typing.Any] = {}
+
+
+def set_common(**fields: typing.Any) -> None:
+    """Sets fields that every line has."""
+    _common.update(fields)
 
 
 def note_dropped() -> None:
@@ -108,22 +114,18 @@
     line = {
         'at_s': round(clock.unix_s(), 3),
         'steady_s': round(clock.monotonic_s(), 3),
+        **_common,
         'event': name,
         **fields,
     }
     logger.info(json.dumps(line, separators=(',', ':'), default=str))
 
 
-define('started', 'The daemon serves.', instance='Name of the instance.')
-define(
-    'stopping',
-    'A planned stop begins.',
-    instance='Name of the instance.',
-)
+define('started', 'The daemon serves.')
+define('stopping', 'A planned stop begins.')
 define(
     'stopped',
     'The daemon ends.',
-    instance='Name of the instance.',
     in_flight='Requests that were cut off.',
 )
 define(
@@ -236,6 +238,7 @@
     'job_opened',
     'This daemon runs the items of a job.',
     job='Job id.',
+    term='Term of the duty; it orders the daemons that ran the job.',
     waiting='Items to run.',
     resumed='Items that have a checkpoint.',
 )
--- a/src/lentildeal/_internal/logs/output.py
+++ b/src/lentildeal/_internal/logs/output.py
@@ -21,6 +21,11 @@
         self._waiting_bytes = 0
         os.set_blocking(descriptor, False)
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes that the reader has not taken."""
+        return self._waiting_bytes
+
     def write(self, line: typing.Any) -> None:
         """Takes in one line, as a sink of ``loguru``."""
         data = str(line).encode('utf-8', 'replace')
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -25,6 +25,8 @@
 READ_TIMEOUT_S = 1.5
 # Only partition 0 of a stream is used.
 PARTITION = 0
+# Statuses by which the store says that an append had no effect.
+NOTHING_DONE = frozenset((400, 403, 404, 409, 412, 413, 429, 503, 507))
 LENGTH = struct.Struct('>I')
 READ_HEAD = struct.Struct('>QQ')
 
@@ -57,10 +59,10 @@
                 raise exceptions.LogAnswerLostError(
                     f'the store confirmed an append unreadably: {error!r}'
                 ) from error
-        # 400 and above: the store says that nothing was done.
-        raise exceptions.LogUnavailableError(
-            f'the store refused an append to {stream}: {answer.status}'
-        )
+        message = f'the store refused an append to {stream}: {answer.status}'
+        if answer.status in NOTHING_DONE:
+            raise exceptions.LogUnavailableError(message)
+        raise exceptions.LogAnswerLostError(message)
 
     def read(
         self,
--- /dev/null
+++ b/src/lentildeal/_internal/reports/explanation.py
@@ -0,0 +1,183 @@
+"""The story of one request, job or item, from the logs of several daemons.
+
+Clocks of daemons are not compared: lines of one daemon keep their order, and
+daemons that ran a job one after the other are ordered by the term of their
+duty, which is an offset of the work log.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import typing
+
+_ID_FIELDS = ('request', 'job', 'item')
+_FIRST, _RUNNING, _LAST = 0, 1, 2
+_STAGES = {'job_accepted': _FIRST, 'job_refused': _FIRST, 'job_ended': _LAST}
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One line of a log.
+
+    Attributes:
+        instance: Daemon that wrote it.
+        position: Number of the line in its log.
+        fields: Fields of the line, with the event.
+    """
+
+    instance: str
+    position: int
+    fields: dict[str, typing.Any]
+
+    @property
+    def event(self) -> str:
+        """Kind of the line."""
+        return self.fields['event']
+
+
+@dataclasses.dataclass(frozen=True)
+class Story:
+    """Lines about an id, in order, and what decided its end."""
+
+    lines: tuple[Line, ...]
+    cause: str
+
+
+def read_lines(name: str, text: str) -> list[Line]:
+    """Reads the event lines of one log; other lines are passed over.
+
+    Args:
+        name: Name of the log, for lines without an instance.
+        text: Content; a line may have a prefix before its JSON object.
+    """
+    found = []
+    for position, line in enumerate(text.splitlines()):
+        start = line.find('{"')
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and 'event' in fields:
+            instance = str(fields.get('instance', name))
+            found.append(Line(instance, position, fields))
+    return found
+
+
+def explain(wanted: str, lines: typing.Sequence[Line]) -> Story:
+    """Selects and orders the lines about an id and names the cause."""
+    related = [line for line in lines if _is_about(line, wanted)]
+    job_ids = {line.fields.get('job') for line in related} - {None}
+    of_jobs = [
+        line
+        for line in lines
+        if line.fields.get('job') in job_ids and 'item' not in line.fields
+    ]
+    found = {(line.instance, line.position): line for line in related}
+    found.update({(line.instance, line.position): line for line in of_jobs})
+    ordered = _sort(list(found.values()))
+    return Story(tuple(ordered), _find_cause(wanted, ordered))
+
+
+def _is_about(line: Line, wanted: str) -> bool:
+    return any(line.fields.get(field) == wanted for field in _ID_FIELDS)
+
+
+def _sort(lines: list[Line]) -> list[Line]:
+    terms: dict[str, int] = {}
+    keyed = []
+    for line in sorted(lines, key=lambda line: (line.instance, line.position)):
+        if 'term' in line.fields:
+            terms[line.instance] = line.fields['term']
+        stage = _STAGES.get(line.event, _RUNNING)
+        term = terms.get(line.instance, -1) if stage == _RUNNING else 0
+        keyed.append(((stage, term, line.instance, line.position), line))
+    return [line for _, line in sorted(keyed, key=lambda pair: pair[0])]
+
+
+def _find_cause(wanted: str, lines: list[Line]) -> str:
+    if not lines:
+        return f'no line is about {wanted}'
+    own = [line for line in lines if _is_about(line, wanted)]
+    last = {line.event: line for line in own}
+    if 'call_failed' in last:
+        return _explain_call(last['call_failed'], own)
+    if 'call_answered' in last:
+        return _explain_slow_call(last['call_answered'], own)
+    if any(line.fields.get('item') == wanted for line in own):
+        return _explain_item(wanted, own, lines)
+    if 'job_refused' in last and 'job_accepted' not in last:
+        fields = last['job_refused'].fields
+        return f'refused with {fields["status"]}: {fields["reason"]}'
+    return _explain_job(own)
+
+
+def _list_troubles(lines: typing.Iterable[Line]) -> list[str]:
+    return [
+        f'{line.event} at {line.fields.get("replica")}:'
+        f' {line.fields.get("reason")}'
+        for line in lines
+        if line.event in ('attempt_failed', 'item_moved')
+    ]
+
+
+def _explain_call(line: Line, own: list[Line]) -> str:
+    fields = line.fields
+    text = (
+        f'{line.instance} answered {fields["status"]} after'
+        f' {fields["elapsed_ms"]} ms: {fields["reason"]}'
+    )
+    return '; '.join([text, *_list_troubles(own)])
+
+
+def _explain_slow_call(line: Line, own: list[Line]) -> str:
+    fields = line.fields
+    text = (
+        f'{fields["replica"]} answered {fields["status"]}; attempt'
+        f' {fields["attempts"]}, {fields["elapsed_ms"]} ms in all'
+    )
+    return '; '.join([text, *_list_troubles(own)])
+
+
+def _explain_item(wanted: str, own: list[Line], lines: list[Line]) -> str:
+    troubles = _list_troubles(own)
+    ended = [line for line in own if line.event == 'item_ended']
+    if ended:
+        fields = ended[-1].fields
+        text = (
+            f'item ended as {fields["state"]} after {fields["attempts"]}'
+            f' attempts and {fields["elapsed_ms"]} ms'
+        )
+    elif any(line.event == 'item_started' for line in own):
+        text = 'item started and has no result in these logs'
+    elif any(line.event == 'job_opened' for line in lines):
+        text = f'item {wanted} waited for a replica and never started'
+    else:
+        text = 'no daemon opened the job of the item'
+    return '; '.join([text, *troubles])
+
+
+def _explain_job(own: list[Line]) -> str:
+    opened = [line for line in own if line.event == 'job_opened']
+    if not opened:
+        return 'accepted, and no daemon opened it in these logs'
+    ended = {line.fields['item'] for line in own if line.event == 'item_ended'}
+    started = {
+        line.fields['item'] for line in own if line.event == 'item_started'
+    }
+    parts = [
+        f'run by {", ".join(line.instance for line in opened)}',
+        f'{len(ended)} items ended, {len(started - ended)} started without'
+        ' a result',
+    ]
+    slowest = max(
+        (line for line in own if line.event == 'item_ended'),
+        key=lambda line: line.fields['elapsed_ms'],
+        default=None,
+    )
+    if slowest is not None:
+        item, elapsed = slowest.fields['item'], slowest.fields['elapsed_ms']
+        parts.append(f'slowest item {item} took {elapsed} ms')
+    return '; '.join([*parts, *_list_troubles(own)])
--- /dev/null
+++ b/tests/unit/test_explanation.py
@@ -0,0 +1,85 @@
+"""Stories from logs: order without comparing clocks, and the cause."""
+
+import json
+
+from lentildeal._internal.reports import explanation
+
+
+def make_log(name, *lines):
+    text = '\n'.join(
+        json.dumps({'instance': name, 'event': event, **fields})
+        for event, fields in lines
+    )
+    return explanation.read_lines(name, text)
+
+
+def test_lines_with_a_prefix_and_other_lines_are_read():
+    # Guards against logs of a collector that adds its own time and name.
+    text = '  1.5 n1 {"event":"started","at_s":1}\nTraceback: {"x\nplain'
+    (line,) = explanation.read_lines('n1', text)
+    assert (line.instance, line.event) == ('n1', 'started')
+
+
+def test_holders_are_ordered_by_term_and_not_by_clock():
+    # Guards against a story in the wrong order when clocks differ.
+    late_clock = make_log(
+        'b',
+        ('job_opened', {'job': 'j', 'term': 3, 'at_s': 90}),
+        ('item_started', {'job': 'j', 'item': 'i', 'replica': 'r1'}),
+    )
+    early_clock = make_log(
+        'a',
+        ('job_opened', {'job': 'j', 'term': 9, 'at_s': 10}),
+        (
+            'item_ended',
+            {
+                'job': 'j',
+                'item': 'i',
+                'state': 'done',
+                'attempts': 1,
+                'elapsed_ms': 5,
+            },
+        ),
+    )
+    accepted = make_log('c', ('job_accepted', {'job': 'j', 'at_s': 50}))
+    story = explanation.explain('i', early_clock + late_clock + accepted)
+    assert [line.instance for line in story.lines] == ['c', 'b', 'b', 'a', 'a']
+    assert 'ended as done' in story.cause
+
+
+def test_cause_of_a_refused_job_is_its_reason():
+    lines = make_log(
+        'a',
+        ('job_refused', {'job': 'j', 'status': 503, 'reason': 'store down'}),
+    )
+    assert explanation.explain('j', lines).cause == (
+        'refused with 503: store down'
+    )
+
+
+def test_cause_of_a_failed_call_names_its_attempts():
+    lines = make_log(
+        'a',
+        (
+            'attempt_failed',
+            {'request': 'c', 'replica': 'r1', 'reason': 'no connection'},
+        ),
+        (
+            'call_failed',
+            {
+                'request': 'c',
+                'status': 504,
+                'elapsed_ms': 800,
+                'reason': 'no answer',
+            },
+        ),
+    )
+    cause = explanation.explain('c', lines).cause
+    assert '504' in cause and 'r1: no connection' in cause
+
+
+def test_cause_of_an_item_that_never_started():
+    lines = make_log('a', ('job_opened', {'job': 'j', 'term': 1}))
+    lines += make_log('a', ('item_moved', {'job': 'j', 'item': 'other'}))
+    assert 'no line is about i' in explanation.explain('i', lines).cause
+    assert '0 items ended' in explanation.explain('j', lines).cause
--- a/tests/unit/test_reference.py
+++ b/tests/unit/test_reference.py
@@ -4,6 +4,7 @@
 
 from lentildeal._internal.cli import status_codes
 from lentildeal._internal.config import reference
+from lentildeal._internal.logs import page as logs_page
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 
@@ -14,6 +15,12 @@
     assert page == reference.make_reference()
 
 
+def test_page_of_log_lines_is_current():
+    """An event is changed and its page is not generated again."""
+    page = (ROOT / 'docs' / 'logs.md').read_text(encoding='utf-8')
+    assert page == logs_page.make_page()
+
+
 def test_every_exit_status_is_documented():
     """A new exit status has no meaning in the reference."""
     assert set(status_codes.MEANINGS) == set(status_codes.Status)
