Reload the settings on SIGHUP and when the file changes

Change: the file is read again on the signal and every 5 s; faults leave the settings in effect. A daemon uses a changed address of the store from the next call on.

--- a/src/lentildeal/_internal/adapters/base.py
+++ b/src/lentildeal/_internal/adapters/base.py
@@ -377,6 +377,10 @@
     # Streams that announce texts, versions and replicas.
     directory_streams: tuple[str, ...]
 
+    @abc.abstractmethod
+    def reload(self, settings: settings_module.Settings) -> None:
+        """Applies changed settings."""
+
     @abc.abstractmethod
     def decode_change(
         self, stream: str, record: KeyedRecord
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -15,6 +15,7 @@
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.platform import adapter  # noqa: F401
+from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import wakeup
 
 _unreadable_total = prometheus_client.Counter(
@@ -62,6 +63,10 @@
             keyed = follower.KeyedFollower(self.platform.store, stream, self)
             self._kernel.spawn(f'follow-{stream}', keyed.run)
 
+    def reload(self, settings: settings_module.Settings) -> None:
+        """See the base class."""
+        self.platform.reload(settings)
+
     def take_all(self, stream: str, records: list[base.KeyedRecord]) -> None:
         """See ``follower.KeyedSink``."""
         changes = [
--- a/src/lentildeal/_internal/kernel/kernel.py
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import pathlib
 import random
 import typing
 
@@ -11,16 +12,20 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_server
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import wakeup
 
 # How often a drain looks whether requests are still in flight, in seconds.
 DRAIN_POLL_S = 0.05
 RESTART_DELAY_S = 0.5
+# The settings file may change without a signal.
+SETTINGS_POLL_S = 5.0
 
 _task_failures_total = prometheus_client.Counter(
     'lentildeal_task_failures_total',
@@ -50,6 +55,7 @@
         self._plugins: dict[str, plugins.Plugin] = {}
         self._state = KernelState.STARTING
         self._drain_requested = eventlet.event.Event()
+        self._reload_requested = wakeup.Wakeup()
         self._work_counters: list[typing.Callable[[], int]] = []
         self._leaving_handlers: list[typing.Callable[[], None]] = []
 
@@ -90,6 +96,14 @@
         if not self._drain_requested.ready():
             self._drain_requested.send()
 
+    def request_reload(self) -> None:
+        """Reads the settings file again soon."""
+        self._reload_requested.set()
+
+    def watch_settings(self, path: pathlib.Path) -> None:
+        """Applies changes of the settings file, with or without a signal."""
+        self.spawn('settings', self._follow_settings, path)
+
     def start(self) -> None:
         """Starts all plug-ins and listens."""
         plugins.load_modules(self._select_modules())
@@ -146,6 +160,29 @@
             in_flight=self._count_work(),
         )
 
+    def _follow_settings(self, path: pathlib.Path) -> None:
+        known = self.settings
+        refused = ''
+        while True:
+            self._reload_requested.wait(SETTINGS_POLL_S)
+            try:
+                loaded = settings_module.load(path)
+            except exceptions.SettingsError as error:
+                # The settings in effect stay; one line for each fault.
+                if error.message != refused:
+                    events.emit('settings_refused', reason=error.message)
+                refused = error.message
+                continue
+            refused = ''
+            if loaded != known:
+                known = loaded
+                self._reload(loaded)
+
+    def _reload(self, loaded: settings_module.Settings) -> None:
+        events.emit('settings_reloaded')
+        for plugin in self._plugins.values():
+            plugin.reload(loaded)
+
     def _select_modules(self) -> tuple[str, ...]:
         if self.settings.store is not None:
             return plugins.STORE_MODULES
--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -43,6 +43,9 @@
     daemon = kernel.Kernel(loaded)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.request_drain())
+    # Its default action ends the process.
+    signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
+    daemon.watch_settings(arguments.settings)
     daemon.run()
     return EXIT_OK
 
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -7,6 +7,7 @@
 
 if typing.TYPE_CHECKING:
     from lentildeal._internal.kernel import kernel as kernel_module
+    from lentildeal._internal.settings import settings as settings_module
 
 # Importing a module runs its decorators. A new plug-in is one new line.
 STAND_ALONE_MODULES = (
@@ -43,6 +44,9 @@
     def start(self) -> None:
         """Registers routes and handlers and spawns green threads."""
 
+    def reload(self, settings: settings_module.Settings) -> None:
+        """Applies changed settings, as far as they can change."""
+
     def drain(self) -> None:
         """Stops taking new work; work in flight goes on."""
 
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -134,6 +134,12 @@
     offset='Offset read up to.',
     elapsed_ms='Time since the start, in milliseconds.',
 )
+define('settings_reloaded', 'Changed settings are in effect.')
+define(
+    'settings_refused',
+    'The settings file has faults; the settings in effect stay.',
+    reason='The faults.',
+)
 define('readiness', 'Readiness changed.', ready='Whether it is ready.')
 define(
     'dependency_lost',
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -36,6 +36,10 @@
         self.store = store.PlatformStore(settings.store)
         self._client = http_client.HttpClient()
 
+    def reload(self, settings: settings_module.Settings) -> None:
+        """See the base class."""
+        self.store.reload(settings.store)
+
     def decode_change(
         self, stream: str, record: base.KeyedRecord
     ) -> typing.Optional[deployment.Change]:
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -38,6 +38,10 @@
         self._settings = settings
         self._client = http_client.HttpClient()
 
+    def reload(self, settings: settings_module.Store) -> None:
+        """Uses another address from the next call on."""
+        self._settings = settings
+
     def append(
         self, stream: str, bodies: typing.Sequence[bytes]
     ) -> ids.Offset:
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -255,3 +255,22 @@
         ),
         'the replica is left alone',
     )
+
+
+def test_hangup_signal_reloads_the_settings(launcher):
+    """Guards against a daemon that ends when its settings change."""
+    world = platform_world.World(launcher, daemons=1)
+    daemon = world.daemons[0]
+    path = launcher.directory / f'{daemon.name}.jsonc'
+    text = path.read_text()
+    path.write_text('{ "instance": 7')
+    daemon.signal(signal.SIGHUP)
+    processes.wait_for(
+        lambda: daemon.read_events('settings_refused'), 'the fault is logged'
+    )
+    path.write_text(text.replace('"d1"', '"d2"'))
+    daemon.signal(signal.SIGHUP)
+    processes.wait_for(
+        lambda: daemon.read_events('settings_reloaded'), 'it reloads'
+    )
+    assert daemon.is_ready()
