Let one daemon run the jobs of all models of a service

The load that a replica reports with the head of an answer was also recorded at the end of the run, seconds later, which made replicas look full. Ruled out: sharing counts through the work log, which takes 60 ms. Change: duties of a group are claimed together; loads are recorded when they come; instances with less than a core leave duties to larger ones; renewals have a short time limit, so that a silent connection loses no duty.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := src tests standins demo bench model
+SOURCES := src tests standins demo bench model soak deploy
 
-.PHONY: all demo reference test check format model bench wheel clean
+.PHONY: soak all demo reference test check format model bench wheel clean
 
 all: check test model
 
@@ -35,6 +35,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+# One seed, as in CI; SEED and COUNT choose others.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --count $(or $(COUNT),1) --kept
+
 wheel: $(STAMP)
 	$(BIN)/python -m pip wheel -q --no-deps -w dist .
 
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,118 @@
+"""Trainers and callers that go on through all faults."""
+
+from __future__ import annotations
+
+import http.client
+import random
+import threading
+
+from soak import evidence as evidence_module
+from tests.lib import platform_world
+
+HOST = platform_world.HOST
+PAUSE_S = 0.2
+ITEMS = 8
+
+
+class Clients:
+    """Threads that submit, read and call at random daemons."""
+
+    def __init__(self, soak, seed: int, trainers: int) -> None:
+        self._soak = soak
+        self._seed = seed
+        self.evidence = evidence_module.Evidence()
+        self.is_ending = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._train, args=(number,))
+            for number in range(trainers)
+        ]
+        self._threads.append(threading.Thread(target=self._call))
+
+    def start(self) -> None:
+        """Starts all clients."""
+        for thread in self._threads:
+            thread.start()
+
+    def finish(self) -> None:
+        """Lets each client end what it has begun."""
+        self.is_ending.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _train(self, number: int) -> None:
+        rng = random.Random(f'{self._seed}/{number}')
+        step = 0
+        while not self.is_ending.is_set():
+            job_id = f's{self._seed}t{number}k{step}'
+            items = [f'{job_id}i{index}' for index in range(ITEMS)]
+            self.evidence.add_job(job_id, items)
+            job = platform_world.make_job(items)
+            if self._submit(rng, job_id, job):
+                self._read(rng, job_id)
+            step += 1
+
+    def _submit(self, rng: random.Random, job_id: str, job: dict) -> bool:
+        """Submits until it is accepted; gives up after the end."""
+        while True:
+            status = self._send(
+                rng,
+                'POST',
+                f'/rollouts/{job_id}',
+                job,
+                Lentildeal_Request_Id=job_id,
+            )[0]
+            self.evidence.add_submission(job_id, status)
+            if status == 202:
+                return True
+            if self.is_ending.is_set():
+                return False
+            self.is_ending.wait(PAUSE_S)
+
+    def _read(self, rng: random.Random, job_id: str) -> None:
+        """Reads until the job is whole, at times from the start."""
+        after = 0
+        while not self._soak.is_overdue:
+            if rng.random() < 0.2:
+                after = rng.randint(0, after)
+            status, page = self._send(
+                rng,
+                'GET',
+                f'/lots/{job_id}?After={after}',
+                Lentildeal_Wait_Ms='500',
+            )
+            self.evidence.add_read(job_id, status)
+            if status != 200:
+                self._soak.pause(PAUSE_S)
+                continue
+            self.evidence.add_page(job_id, after, page)
+            after = page['NextToken']
+            if after == page['Total']:
+                return
+
+    def _call(self) -> None:
+        rng = random.Random(f'{self._seed}/calls')
+        number = 0
+        while not self.is_ending.is_set():
+            call_id = f's{self._seed}c{number}'
+            self.evidence.calls[call_id] = None
+            status, body = self._send(
+                rng,
+                'POST',
+                '/once/1',
+                None,
+                Lentildeal_Request_Id=call_id,
+                Lentildeal_Deadline_Ms='1500',
+            )
+            self.evidence.calls[call_id] = status
+            if status == 200 and body != b'plain ':
+                self.evidence.broken.append(f'call {call_id}: {body!r}')
+            number += 1
+            self.is_ending.wait(PAUSE_S / 2)
+
+    def _send(self, rng, method, path, value=None, **headers) -> tuple:
+        """Calls a random daemon; status 0 if there was no answer."""
+        daemon = rng.choice(self._soak.daemons)
+        try:
+            return daemon.call(method, path, value, Host=HOST, **headers)
+        except (OSError, ValueError, http.client.HTTPException):
+            return 0, None
--- a/src/lentildeal/_internal/adapters/base.py
+++ b/src/lentildeal/_internal/adapters/base.py
@@ -273,7 +273,11 @@
 
     @abc.abstractmethod
     def append(
-        self, stream: str, bodies: typing.Sequence[bytes]
+        self,
+        stream: str,
+        bodies: typing.Sequence[bytes],
+        *,
+        timeout_s: typing.Optional[float] = None,
     ) -> ids.Offset:
         """Appends records, all or none; returns the offset of the first.
 
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -38,7 +38,7 @@
         started_s: When it began.
         heard_s: When bytes came last.
         run_events: Events of this run.
-        facts: Head of the answer, None before it.
+        reason: What happened, if it was not complete.
     """
 
     def __init__(
@@ -47,16 +47,19 @@
         connections: target_connections.TargetConnections,
         replica: deployment.Replica,
         progress: jobs.Progress,
+        min_version: ids.Version,
+        on_load: typing.Callable[[base.ReplicaLoad], None],
     ) -> None:
         self.replica = replica
         self.started_s = clock.monotonic_s()
         self.heard_s = self.started_s
         self.run_events = 0
         self.first_event_s: typing.Optional[float] = None
-        self.facts: typing.Optional[base.AnswerFacts] = None
         self.reason = ''
         self._platform = platform
         self._connections = connections
+        self._min_version = min_version
+        self._on_load = on_load
         self._events = list(progress.events)
         self._last_event_id = progress.last_event_id
         self._versions = set(progress.versions)
@@ -120,11 +123,16 @@
         self, response: target_connections.TargetResponse, item: jobs.Item
     ) -> Ending:
         facts = self._platform.read_answer(response.status, response.headers)
-        self.facts = facts
+        if facts.load is not None:
+            # Now, as a load that was reported seconds ago says nothing.
+            self._on_load(facts.load)
         if facts.request_id not in (None, item.item_id):
             self.reason = f'answer of another request, {facts.request_id}'
             return Ending.BROKEN
         if response.status == 200 and facts.request_id == item.item_id:
+            if facts.version is None or facts.version < self._min_version:
+                self.reason = f'version {facts.version} is too old'
+                return Ending.BROKEN
             self._version = facts.version
             return self._read_events(response)
         response.read()
@@ -169,10 +177,6 @@
             raise exceptions.TruncatedAnswerError(
                 f'event id {event.event_id!r} is no number'
             )
-        if self._version is None:
-            raise exceptions.TruncatedAnswerError(
-                'the answer names no version'
-            )
         if self._last_event_id is None:
             return
         if int(event.event_id) != int(self._last_event_id) + 1:
--- a/src/lentildeal/_internal/jobs/duty_keeper.py
+++ b/src/lentildeal/_internal/jobs/duty_keeper.py
@@ -26,8 +26,14 @@
 LEASE_S = 1.7
 # Claims are spread over this time, so that most of them are not made at all.
 CLAIM_SPREAD_S = 0.3
-# Each duty already held lets others be faster.
-CLAIM_DELAY_PER_DUTY_S = 0.35
+# Each group of duties already held lets others be faster.
+CLAIM_DELAY_PER_GROUP_S = 0.35
+# An instance with less processor than this lets others be faster; running
+# the jobs of 22 replicas takes up to a third of a core.
+WANTED_CORES = 1.0
+SMALL_DELAY_S = 0.6
+# A renewal on a connection that went silent has to be repeated in time.
+RENEWAL_TIMEOUT_S = 0.6
 
 _held = prometheus_client.Gauge(
     'lentildeal_duties_held', 'Duties that this daemon holds.'
@@ -46,6 +52,7 @@
 
 @dataclasses.dataclass
 class _Lease:
+    group: str
     term: ids.Term
     until_s: float
     orders_from_s: float
@@ -131,12 +138,17 @@
                 _held.set(len(self._leases))
             eventlet.sleep(CHECK_INTERVAL_S)
 
-    def _wanted(self) -> list[ids.DutyName]:
-        found = []
+    def _wanted(self) -> typing.Iterator[tuple[ids.DutyName, str]]:
+        """Duties with the group that one daemon should hold together.
+
+        The jobs of all models of a service share its replicas: two holders
+        would fill the same replica at the same moment.
+        """
         for service in self._directory.text.iter_engine_services():
-            found.append(orders_duty(service.name))
-            found.extend(jobs_duty(model) for model in service.models)
-        return found
+            duty = orders_duty(service.name)
+            yield duty, duty
+            for model in service.models:
+                yield jobs_duty(model), f'jobs of {service.name}'
 
     def _drop_lost(self) -> None:
         for duty, lease in list(self._leases.items()):
@@ -156,7 +168,7 @@
             return
         pairs = tuple((d, lease.term) for d, lease in self._leases.items())
         try:
-            self._log.append([records.Renewal(pairs)])
+            self._log.append([records.Renewal(pairs)], RENEWAL_TIMEOUT_S)
         except exceptions.PlatformError:
             # Tried again at the next check; the lease ends if it fails on.
             return
@@ -167,17 +179,17 @@
                 lease.until_s = now_s + LEASE_S
 
     def _claim_vacant(self) -> None:
-        for duty in self._wanted():
+        for duty, group in self._wanted():
             if duty in self._leases or not self._is_vacant(duty):
                 self._vacant_since_s.pop(duty, None)
-                self._adopt(duty)
+                self._adopt(duty, group)
                 continue
             now_s = clock.boottime_s()
             since_s = self._vacant_since_s.setdefault(duty, now_s)
-            if now_s - since_s >= self._claim_delay_s(duty):
-                self._claim(duty)
+            if now_s - since_s >= self._claim_delay_s(duty, group):
+                self._claim(duty, group)
 
-    def _adopt(self, duty: ids.DutyName) -> None:
+    def _adopt(self, duty: ids.DutyName, group: str) -> None:
         """Keeps a duty whose claim took effect without an answer.
 
         It is held from the next renewal on.
@@ -186,7 +198,7 @@
         is_known = duty in self._leases or term in self._resigned
         if self._is_mine(duty) and not is_known:
             self._leases[duty] = _Lease(
-                term, 0.0, clock.boottime_s() + self._orders_wait_s()
+                group, term, 0.0, clock.boottime_s() + self._orders_wait_s()
             )
             self._renewed_s = 0.0
 
@@ -202,21 +214,24 @@
             timeout_s=TIMEOUT_S,
         )
 
-    def _claim_delay_s(self, duty: ids.DutyName) -> float:
-        state = self._log.duties.get(duty)
-        if state.holder == self._instance:
+    def _claim_delay_s(self, duty: ids.DutyName, group: str) -> float:
+        held = {lease.group for lease in self._leases.values()}
+        holder = self._log.duties.get(duty).holder
+        if group in held or holder == self._instance:
             return 0.0
-        share = hashing.hash_text(duty, self._instance, str(state.term))
-        return CLAIM_SPREAD_S * (share / 2**64) + CLAIM_DELAY_PER_DUTY_S * len(
-            self._leases
-        )
+        # The same for all duties of a group that one holder has lost.
+        share = hashing.hash_text(group, self._instance, str(holder)) / 2**64
+        delay_s = CLAIM_SPREAD_S * share + CLAIM_DELAY_PER_GROUP_S * len(held)
+        if self._kernel.settings.resources.cores < WANTED_CORES:
+            delay_s += SMALL_DELAY_S
+        return delay_s
 
     def _orders_wait_s(self) -> float:
         """Time after a claim until the previous holder's turn is over."""
         lease_s = self._kernel.settings.store.lease_ms / 1000
         return max(0.0, lease_s - TIMEOUT_S)
 
-    def _claim(self, duty: ids.DutyName) -> None:
+    def _claim(self, duty: ids.DutyName, group: str) -> None:
         previous = self._log.duties.get(duty).holder
         claim = self._log.duties.make_claim(
             duty, self._instance, self._kernel.incarnation
@@ -235,7 +250,7 @@
             if previous not in (None, self._instance):
                 wait_s = self._orders_wait_s()
             self._leases[duty] = _Lease(
-                state.term, sent_s + LEASE_S, sent_s + wait_s
+                group, state.term, sent_s + LEASE_S, sent_s + wait_s
             )
             events.emit(
                 'duty_claimed', duty=duty, term=state.term, previous=previous
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -348,6 +348,10 @@
             self._connections,
             replica,
             task.progress,
+            task.entry.head.min_version,
+            lambda load: self._use.record_load(
+                replica.replica_id, load.running + load.waiting
+            ),
         )
         task.attempt = attempt
         task.attempt_count += 1
@@ -373,7 +377,6 @@
         task.progress = attempt.progress
         self._use.end(attempt.replica.replica_id)
         _attempts_total.labels(ending.value).inc()
-        self._note_answer(attempt)
         self._take_ending(task, attempt, ending)
         self._wakeup.set()
 
@@ -385,13 +388,6 @@
         _attempts_total.labels('stopped').inc()
         return attempt.progress
 
-    def _note_answer(self, attempt: attempts.Attempt) -> None:
-        facts = attempt.facts
-        if facts is not None and facts.load is not None:
-            # As of the begin of the answer, when this run was in it.
-            total = facts.load.running + facts.load.waiting
-            self._use.record_load(attempt.replica.replica_id, total)
-
     def _take_ending(
         self,
         task: tasks.ItemTask,
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -123,16 +123,27 @@
         self._kernel.spawn('work-log-append', self._append_queued)
         self._kernel.spawn('work-log-forget', self._forget_old)
 
-    def append(self, batch: typing.Sequence[records.Record]) -> ids.Offset:
+    def append(
+        self,
+        batch: typing.Sequence[records.Record],
+        timeout_s: typing.Optional[float] = None,
+    ) -> ids.Offset:
         """Appends records, all or none, and returns the first offset.
 
+        Args:
+            batch: Records.
+            timeout_s: Longest wait for an answer; the store's default
+                without one.
+
         Raises:
             exceptions.LogUnavailableError: The append had no effect.
             exceptions.LogAnswerLostError: It may take effect, also later.
         """
         bodies = [records.encode(record) for record in batch]
         try:
-            offset = self._store.append(records.WORK_STREAM, bodies)
+            offset = self._store.append(
+                records.WORK_STREAM, bodies, timeout_s=timeout_s
+            )
         except exceptions.LogAnswerLostError:
             _appends_total.labels('unknown').inc()
             raise
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -43,14 +43,22 @@
         self._settings = settings
 
     def append(
-        self, stream: str, bodies: typing.Sequence[bytes]
+        self,
+        stream: str,
+        bodies: typing.Sequence[bytes],
+        *,
+        timeout_s: typing.Optional[float] = None,
     ) -> ids.Offset:
         """See the base class."""
         body = b''.join(LENGTH.pack(len(body)) + body for body in bodies)
         query = {'Topic': stream, 'part': PARTITION}
         try:
             answer = self._call(
-                'POST', names.APPEND_PATH, query, APPEND_TIMEOUT_S, body
+                'POST',
+                names.APPEND_PATH,
+                query,
+                timeout_s or APPEND_TIMEOUT_S,
+                body,
             )
         except exceptions.NotRunError as error:
             raise exceptions.LogUnavailableError(error.message) from error
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -161,6 +161,23 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class Resources:
+    """What the instance has."""
+
+    processor_share: float = options.option(
+        'Share of a processor that the daemon may use.', 1.0, minimum=0.01
+    )
+    processor_speed: float = options.option(
+        'Speed of the processor, in cores of usual speed.', 1.0, minimum=0.01
+    )
+
+    @property
+    def cores(self) -> float:
+        """Processor, in cores of usual speed."""
+        return self.processor_share * self.processor_speed
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """The settings file of a daemon."""
@@ -196,6 +213,9 @@
     )
     timing: Timing = options.option('Intervals.', factory=Timing)
     limits: Limits = options.option('Bounds.', factory=Limits)
+    resources: Resources = options.option(
+        'What the instance has.', factory=Resources
+    )
     snapshots: Snapshots = options.option(
         'Snapshots of the text in effect.', factory=Snapshots
     )
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -30,7 +30,7 @@
         self.is_down = False
         self.reads = 0
 
-    def append(self, stream, bodies):
+    def append(self, stream, bodies, *, timeout_s=None):
         """See the base class."""
         fault = self.faults.pop(0) if self.faults else None
         if self.is_down or fault is Fault.REFUSED:
--- /dev/null
+++ b/tests/unit/jobs/test_duty_keeper.py
@@ -0,0 +1,130 @@
+"""Claims of duties by several daemons on one log."""
+
+import types
+
+import eventlet
+import pytest
+
+from lentildeal._internal.jobs import duties
+from lentildeal._internal.jobs import duty_keeper
+from lentildeal._internal.models import deployment
+from lentildeal._internal.utils import clock
+from tests.lib import job_builders
+
+MODELS = ('m0', 'm1', 'm2')
+
+
+class SharedLog:
+    """A work log that all keepers read at once."""
+
+    def __init__(self):
+        self.duties = duties.DutyBook()
+        self.is_caught_up = True
+        self.heard_since_s = 0.0
+        self.offset = 0
+
+    def append(self, batch, timeout_s=None):
+        for record in batch:
+            self.duties.apply(record, self.offset, clock.boottime_s())
+            self.offset += 1
+
+    def sync(self):
+        """Everything has been read already."""
+
+    def enqueue(self, record):
+        self.append([record])
+
+
+def make_keeper(log, name, cores=2.0):
+    text = deployment.PublishedText(
+        1,
+        (),
+        {
+            job_builders.SERVICE: deployment.Service(
+                job_builders.SERVICE, MODELS, 4, 100
+            )
+        },
+        deployment.IngressLimits(),
+    )
+    plugins = {
+        'directory': types.SimpleNamespace(is_loaded=True, text=text),
+        'work_log': log,
+    }
+    kernel = types.SimpleNamespace(
+        plugin=plugins.get,
+        spawn=lambda _, function: eventlet.spawn(function),
+        incarnation=hash(name),
+        settings=types.SimpleNamespace(
+            instance=name,
+            resources=types.SimpleNamespace(cores=cores),
+            store=types.SimpleNamespace(lease_ms=3000),
+        ),
+    )
+    return duty_keeper.DutyKeeper(kernel)
+
+
+@pytest.fixture
+def log():
+    return SharedLog()
+
+
+def run(keepers, seconds):
+    for keeper in keepers:
+        keeper.start()
+    eventlet.sleep(seconds)
+
+
+def holders(log):
+    return {
+        model: log.duties.get(duty_keeper.jobs_duty(model)).holder
+        for model in MODELS
+    }
+
+
+def test_one_daemon_runs_all_models_of_a_service(log):
+    # Guards against two holders that fill the same replica at once.
+    run([make_keeper(log, f'n{n}') for n in range(5)], 1.0)
+    found = set(holders(log).values())
+    assert len(found) == 1 and None not in found
+    orders = log.duties.get(duty_keeper.orders_duty(job_builders.SERVICE))
+    assert orders.holder is not None
+
+
+def test_small_instance_leaves_duties_to_larger_ones(log):
+    # Guards against a scheduler on a third of a core.
+    run([make_keeper(log, 'small', 0.36), make_keeper(log, 'large')], 1.5)
+    assert set(holders(log).values()) == {'large'}
+
+
+def test_duties_of_a_daemon_that_leaves_are_taken_over_at_once(log):
+    # Guards against waiting for a time-out after a planned stop.
+    keepers = [make_keeper(log, f'n{n}') for n in range(3)]
+    run(keepers, 1.0)
+    leaving = next(k for k in keepers if k._instance == holders(log)['m0'])
+    leaving.resign_all()
+    eventlet.sleep(0.8)
+    found = set(holders(log).values())
+    assert len(found) == 1
+    assert not found & {None, leaving._instance}
+
+
+def test_restarted_daemon_claims_the_duties_of_its_earlier_process(log):
+    # Guards against two seconds of silence after a loss of power.
+    duty = duty_keeper.jobs_duty('m0')
+    log.append([log.duties.make_claim(duty, 'n0', 1)])
+    keeper = make_keeper(log, 'n0')
+    run([keeper], 0.3)
+    assert keeper.find_term(duty) is not None
+
+
+def test_orders_wait_until_the_turn_of_the_last_holder_is_over(log):
+    # Guards against orders of two holders within the platform's lease time.
+    duty = duty_keeper.orders_duty(job_builders.SERVICE)
+    log.append([log.duties.make_claim(duty, 'other', 1)])
+    log.duties.get(duty).seen_s -= duty_keeper.TIMEOUT_S + 0.1
+    keeper = make_keeper(log, 'n0')
+    run([keeper], 0.9)
+    assert keeper.find_term(duty) is not None
+    assert not keeper.may_order(duty)
+    eventlet.sleep(1.2)
+    assert keeper.may_order(duty)
