--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -30,6 +30,9 @@
 # Without an answer for this long the log counts as not heard: the longest
 # wait, a slow phase of the platform (60 x 4 ms) and the spacing fit in.
 GAP_S = 1.4
+# Without an answer for this long the store counts as unreachable: a read
+# that went silent is noticed after 2.3 s, and the next one answers.
+UNHEARD_S = 2.6
 READ_BYTES = 512 * 1024
 # Queued records are gathered for this time, so that results that end
 # together are one append.
@@ -104,6 +107,12 @@
         """Whether the log has been read to its end once."""
         return self._is_caught_up
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether the log is read to its end and answers."""
+        silence_s = clock.boottime_s() - self._heard_s
+        return self._is_caught_up and silence_s <= UNHEARD_S
+
     @property
     def heard_since_s(self) -> float:
         """Since when the log has been read without a gap, in seconds."""
--- a/src/lentildeal/_internal/reports/readiness.py
+++ b/src/lentildeal/_internal/reports/readiness.py
@@ -27,15 +27,14 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether this daemon can serve.
+        """Whether new callers are better off here than elsewhere.
 
-        An outage of the store does not change it: live calls go on, and
-        other daemons could not accept jobs either.
+        A daemon that is cut off from the store can accept no job and list no
+        result, while others may. If the store is away for all daemons, the
+        platform's balancer uses all of them.
         """
         is_serving = self._kernel.state is kernel_module.KernelState.SERVING
-        return (
-            is_serving and self._directory.is_loaded and self._log.is_caught_up
-        )
+        return is_serving and self._directory.is_loaded and self._log.is_heard
 
     def start(self) -> None:
         """See the base class."""
