--- /dev/null
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -0,0 +1,250 @@
+"""Interface of a platform with a store, a directory and replicas."""
+
+from __future__ import annotations
+
+import abc
+import dataclasses
+import enum
+import typing
+
+from lentildeal._internal.adapters import base
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
+from lentildeal._internal.settings import settings as settings_module
+
+
+@dataclasses.dataclass(frozen=True)
+class RawRecord:
+    """One record of a stream of bytes."""
+
+    offset: ids.Offset
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class RawPage:
+    """Result of one read of a stream of bytes.
+
+    Attributes:
+        records: Records from the asked offset on, in order.
+        end: Offset that the next append will get.
+    """
+
+    records: tuple[RawRecord, ...]
+    end: ids.Offset
+
+
+@dataclasses.dataclass(frozen=True)
+class KeyedRecord:
+    """The newest record of a key; no value if the key was dropped."""
+
+    key: str
+    value: typing.Optional[bytes]
+
+
+class RecordStore(abc.ABC):
+    """Streams of bytes, and streams that keep the newest record of a key."""
+
+    @abc.abstractmethod
+    def append(
+        self,
+        stream: str,
+        bodies: typing.Sequence[bytes],
+        *,
+        timeout_s: typing.Optional[float] = None,
+    ) -> ids.Offset:
+        """Appends records, all or none; returns the offset of the first.
+
+        Raises:
+            exceptions.LogUnavailableError: The append had no effect.
+            exceptions.LogAnswerLostError: The append may take effect, also
+                later.
+        """
+
+    @abc.abstractmethod
+    def read(
+        self,
+        stream: str,
+        start: ids.Offset,
+        *,
+        wait_s: float = 0.0,
+        limit_bytes: int = 262_144,
+    ) -> RawPage:
+        """Reads from an offset on; waits for a record if there is none.
+
+        Raises:
+            exceptions.LogTrimmedError: The records were dropped.
+            exceptions.LogUnavailableError: The store did not answer.
+        """
+
+    @abc.abstractmethod
+    def read_newest(self, stream: str) -> tuple[list[KeyedRecord], ids.Offset]:
+        """Reads the newest record of each key.
+
+        Returns:
+            The records, and the offset to read on from.
+
+        Raises:
+            exceptions.LogUnavailableError: The store did not answer.
+        """
+
+    @abc.abstractmethod
+    def decode_keyed(self, body: bytes) -> KeyedRecord:
+        """Splits a record of a keyed stream.
+
+        Raises:
+            exceptions.UnreadableRecordError: It is not in that form.
+        """
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaReport:
+    """What a replica says of itself.
+
+    Attributes:
+        versions: Version of each model.
+        is_busy: Whether an order is in progress.
+        order_count: Orders accepted since the replica started.
+    """
+
+    versions: dict[ids.ModelName, ids.Version]
+    is_busy: bool
+    order_count: int
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaLoad:
+    """Load that a replica reports with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True)
+class AnswerFacts:
+    """What the head of a replica's answer says besides its status.
+
+    Attributes:
+        request_id: Request that it answers, None if it names none.
+        is_not_run: Whether the replica did not run the request.
+        version: Version of the weights, None if it names none.
+        load: Load of the replica, None if it reports none.
+    """
+
+    request_id: typing.Optional[str]
+    is_not_run: bool
+    version: typing.Optional[ids.Version]
+    load: typing.Optional[ReplicaLoad]
+
+
+class OrderOutcome(str, enum.Enum):
+    """Answer of a replica to an order."""
+
+    ACCEPTED = 'accepted'
+    HOLDS_ALREADY = 'holds_already'
+    CONFLICT = 'conflict'
+    FENCED = 'fenced'
+    REFUSED = 'refused'
+
+
+class Platform(abc.ABC):
+    """A platform with a store, a directory and replicas."""
+
+    store: RecordStore
+    # Streams that announce texts, versions and replicas.
+    directory_streams: tuple[str, ...]
+
+    @abc.abstractmethod
+    def reload(self, settings: settings_module.Settings) -> None:
+        """Applies changed settings."""
+
+    @abc.abstractmethod
+    def decode_change(
+        self, stream: str, record: KeyedRecord
+    ) -> typing.Optional[deployment.Change]:
+        """Decodes a directory record; None for one of no interest.
+
+        Raises:
+            exceptions.UnreadableRecordError: It is not in its published form.
+        """
+
+    @abc.abstractmethod
+    def make_headers(
+        self,
+        replica: deployment.Replica,
+        *,
+        request_id: typing.Optional[str] = None,
+        deadline_s: typing.Optional[float] = None,
+        resume_after: typing.Optional[str] = None,
+    ) -> list[tuple[str, str]]:
+        """Makes the headers that this system sets on a request.
+
+        Args:
+            replica: The only replica that may run the request.
+            request_id: Identifier, if the caller's headers hold none.
+            deadline_s: Time that is left, in seconds.
+            resume_after: Identifier of the event to go on after.
+        """
+
+    @abc.abstractmethod
+    def read_answer(
+        self, status: int, headers: typing.Mapping[str, str]
+    ) -> AnswerFacts:
+        """Reads the head of an answer; names of headers in lower case."""
+
+    @abc.abstractmethod
+    def read_event_version(
+        self, fields: typing.Mapping[str, str]
+    ) -> typing.Optional[ids.Version]:
+        """Version that begins with an event, None without a change."""
+
+    @abc.abstractmethod
+    def get_report(self, replica: deployment.Replica) -> ReplicaReport:
+        """Asks a replica for its state.
+
+        Raises:
+            exceptions.PlatformError: It did not answer.
+        """
+
+    @abc.abstractmethod
+    def order_version(
+        self,
+        replica: deployment.Replica,
+        order: VersionOrder,
+    ) -> OrderOutcome:
+        """Orders a replica to load a version.
+
+        Raises:
+            exceptions.PlatformError: The order may take effect, also later.
+        """
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionOrder:
+    """An order to load a version.
+
+    Attributes:
+        model: Model to change.
+        version: Version to load.
+        keeps_runs: Whether runs go on under the new version; otherwise they
+            finish first.
+        holder: Instance that orders.
+        fence: Fencing token of its duty.
+        expected_orders: Count of accepted orders at which it is valid.
+    """
+
+    model: ids.ModelName
+    version: ids.Version
+    keeps_runs: bool
+    holder: ids.InstanceId
+    fence: ids.FencingToken
+    expected_orders: int
+
+
+platforms: base.Registry[Platform] = base.Registry('platform')
+
+
+def make_platform(settings: settings_module.Settings) -> Platform:
+    """Makes the platform adapter that the settings name."""
+    return platforms.make(settings.store.adapter, settings)
--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import backoff
@@ -24,10 +24,12 @@
 class KeyedSink(typing.Protocol):
     """What takes in the records of a keyed stream."""
 
-    def take_all(self, stream: str, records: list[base.KeyedRecord]) -> None:
+    def take_all(
+        self, stream: str, records: list[platform_base.KeyedRecord]
+    ) -> None:
         """Takes in the newest record of every key."""
 
-    def take(self, stream: str, record: base.KeyedRecord) -> None:
+    def take(self, stream: str, record: platform_base.KeyedRecord) -> None:
         """Takes in one change."""
 
     def note_answer(self, stream: str) -> None:
@@ -41,7 +43,7 @@
     """Keeps a sink up to date with one keyed stream."""
 
     def __init__(
-        self, store: base.RecordStore, stream: str, sink: KeyedSink
+        self, store: platform_base.RecordStore, stream: str, sink: KeyedSink
     ) -> None:
         self._store = store
         self._stream = stream
@@ -84,7 +86,7 @@
             self._take(record)
             self._next = ids.Offset(record.offset + 1)
 
-    def _take(self, record: base.RawRecord) -> None:
+    def _take(self, record: platform_base.RawRecord) -> None:
         try:
             keyed = self._store.decode_keyed(record.body)
         except exceptions.UnreadableRecordError:
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -6,7 +6,7 @@
 
 import prometheus_client
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.directory import follower
 from lentildeal._internal.directory import replicas
 from lentildeal._internal import exceptions
@@ -31,7 +31,7 @@
 
     def __init__(self, kernel) -> None:
         super().__init__(kernel)
-        self.platform = base.make_platform(kernel.settings)
+        self.platform = platform_base.make_platform(kernel.settings)
         self.replicas = replicas.ReplicaTable()
         self.changed = wakeup.Wakeup()
         self._text: typing.Optional[deployment.PublishedText] = None
@@ -67,7 +67,9 @@
         """See the base class."""
         self.platform.reload(settings)
 
-    def take_all(self, stream: str, records: list[base.KeyedRecord]) -> None:
+    def take_all(
+        self, stream: str, records: list[platform_base.KeyedRecord]
+    ) -> None:
         """See ``follower.KeyedSink``."""
         changes = [
             change
@@ -86,7 +88,7 @@
             self.replicas.replace_all(of_replicas)
         self.changed.set()
 
-    def take(self, stream: str, record: base.KeyedRecord) -> None:
+    def take(self, stream: str, record: platform_base.KeyedRecord) -> None:
         """See ``follower.KeyedSink``."""
         change = self._decode(stream, record)
         if change is not None:
@@ -114,7 +116,7 @@
         return stream == self.platform.directory_streams[-1]
 
     def _decode(
-        self, stream: str, record: base.KeyedRecord
+        self, stream: str, record: platform_base.KeyedRecord
     ) -> typing.Optional[deployment.Change]:
         try:
             return self.platform.decode_change(stream, record)
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -9,7 +9,7 @@
 import eventlet.queue
 import prometheus_client
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import choice
@@ -63,7 +63,9 @@
         self._connections = target_connections.TargetConnections()
         self._health = health.HealthBook()
         self._running: dict[ids.ReplicaId, int] = {}
-        self._loads: dict[ids.ReplicaId, tuple[base.ReplicaLoad, float]] = {}
+        self._loads: dict[
+            ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
+        ] = {}
 
     def start(self) -> None:
         """See the base class."""
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -5,7 +5,7 @@
 import enum
 import typing
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
@@ -43,12 +43,12 @@
 
     def __init__(
         self,
-        platform: base.Platform,
+        platform: platform_base.Platform,
         connections: target_connections.TargetConnections,
         replica: deployment.Replica,
         progress: jobs.Progress,
         min_version: ids.Version,
-        on_load: typing.Callable[[base.ReplicaLoad], None],
+        on_load: typing.Callable[[platform_base.ReplicaLoad], None],
     ) -> None:
         self.replica = replica
         self.started_s = clock.monotonic_s()
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -14,6 +14,7 @@
 from lentildeal._internal.jobs import duties
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import table
+from lentildeal._internal.jobs import texts as texts_module
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
@@ -39,10 +40,6 @@
 LINGER_S = 0.02
 FIRST_RETRY_S = 0.05
 LONGEST_RETRY_S = 0.5
-# Texts kept in memory: those of items that ended here, and those just read.
-CACHE_BYTES = 256 * 1024
-# Most text of one read; a read of the store returns at most 1 MB.
-GROUP_BYTES = 512 * 1024
 # Jobs are forgotten this long after results may be asked for.
 FORGET_MARGIN_S = 60.0
 FORGET_INTERVAL_S = 10.0
@@ -52,28 +49,6 @@
 )
 
 
-class _TextCache:
-    """Newest texts by place, bounded in bytes."""
-
-    def __init__(self) -> None:
-        self._bodies: collections.OrderedDict[records.Place, bytes] = (
-            collections.OrderedDict()
-        )
-        self._size_bytes = 0
-
-    def get(self, place: records.Place) -> typing.Optional[bytes]:
-        return self._bodies.get(place)
-
-    def put(self, place: records.Place, body: bytes) -> None:
-        if place in self._bodies or len(body) > CACHE_BYTES:
-            return
-        self._bodies[place] = body
-        self._size_bytes += len(body)
-        while self._size_bytes > CACHE_BYTES:
-            _, dropped = self._bodies.popitem(last=False)
-            self._size_bytes -= len(dropped)
-
-
 class _Queued(typing.NamedTuple):
     """A record to append, and the events of its text if it has one."""
 
@@ -100,7 +75,7 @@
         self._heard_since_s = math.inf
         self._queue: collections.deque[_Queued] = collections.deque()
         self._queued = wakeup.Wakeup()
-        self._cache = _TextCache()
+        self._cache = texts_module.TextCache()
 
     @property
     def is_caught_up(self) -> bool:
@@ -233,7 +208,7 @@
                 missing.append(place)
             else:
                 bodies[place] = body
-        for group in _group_neighbours(missing):
+        for group in texts_module.group_neighbours(missing):
             bodies.update(self._read_group(group))
         return [records.decode(bodies[place]) for place in places]
 
@@ -402,24 +377,5 @@
             )
 
 
-def _group_neighbours(
-    places: typing.Sequence[records.Place],
-) -> list[list[records.Place]]:
-    """Groups texts that follow on each other in one stream."""
-    groups: list[list[records.Place]] = []
-    for place in sorted(places):
-        last = groups[-1][-1] if groups else None
-        if (
-            last is not None
-            and last.stream == place.stream
-            and last.offset + 1 == place.offset
-            and sum(p.size_bytes for p in groups[-1]) < GROUP_BYTES
-        ):
-            groups[-1].append(place)
-        else:
-            groups.append([place])
-    return groups
-
-
 def _elapsed_ms(since_s: float) -> int:
     return int((clock.monotonic_s() - since_s) * 1000)
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -8,7 +8,7 @@
 import eventlet
 import prometheus_client
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import duty_keeper
 from lentildeal._internal.jobs import records
@@ -148,7 +148,7 @@
         service: ids.ServiceName,
         replica: deployment.Replica,
         load: rotation.PlannedLoad,
-        report: base.ReplicaReport,
+        report: platform_base.ReplicaReport,
     ) -> bool:
         """Sends an order; returns whether it is being carried out."""
         duty = duty_keeper.orders_duty(service)
@@ -156,7 +156,7 @@
         # The report may have taken longer than the lease.
         if term is None or not self._may_order(service):
             return False
-        order = base.VersionOrder(
+        order = platform_base.VersionOrder(
             load.model,
             load.version,
             keeps_runs=not self._is_single_version(service),
@@ -164,7 +164,7 @@
             fence=ids.FencingToken(term),
             expected_orders=report.order_count,
         )
-        outcome: typing.Optional[base.OrderOutcome] = None
+        outcome: typing.Optional[platform_base.OrderOutcome] = None
         try:
             outcome = self._directory.platform.order_version(replica, order)
         finally:
@@ -179,12 +179,12 @@
                 expected=report.order_count,
                 outcome=name,
             )
-        if outcome is base.OrderOutcome.FENCED:
+        if outcome is platform_base.OrderOutcome.FENCED:
             # A newer holder has ordered; only a new term may order again.
             self._duties.resign(duty, 'a replica saw a newer fencing token')
         return outcome in (
-            base.OrderOutcome.ACCEPTED,
-            base.OrderOutcome.HOLDS_ALREADY,
+            platform_base.OrderOutcome.ACCEPTED,
+            platform_base.OrderOutcome.HOLDS_ALREADY,
         )
 
     def _confirm(self, load: rotation.PlannedLoad) -> None:
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -5,7 +5,7 @@
 import json
 import typing
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
@@ -19,15 +19,15 @@
 CONTROL_TIMEOUT_S = 1.0
 
 _ORDER_OUTCOMES = {
-    202: base.OrderOutcome.ACCEPTED,
-    200: base.OrderOutcome.HOLDS_ALREADY,
-    409: base.OrderOutcome.CONFLICT,
-    412: base.OrderOutcome.FENCED,
+    202: platform_base.OrderOutcome.ACCEPTED,
+    200: platform_base.OrderOutcome.HOLDS_ALREADY,
+    409: platform_base.OrderOutcome.CONFLICT,
+    412: platform_base.OrderOutcome.FENCED,
 }
 
 
-@base.platforms.register('platform')
-class UsersPlatform(base.Platform):
+@platform_base.platforms.register('platform')
+class UsersPlatform(platform_base.Platform):
     """Store, directory and replicas of the users' platform."""
 
     directory_streams = (names.OPERATOR_STREAM, names.REPLICA_STREAM)
@@ -41,7 +41,7 @@
         self.store.reload(settings.store)
 
     def decode_change(
-        self, stream: str, record: base.KeyedRecord
+        self, stream: str, record: platform_base.KeyedRecord
     ) -> typing.Optional[deployment.Change]:
         """See the base class."""
         if stream == names.REPLICA_STREAM:
@@ -75,10 +75,10 @@
 
     def read_answer(
         self, status: int, headers: typing.Mapping[str, str]
-    ) -> base.AnswerFacts:
+    ) -> platform_base.AnswerFacts:
         """See the base class."""
         is_not_run = names.NOT_EXECUTED.lower() in headers or status == 421
-        return base.AnswerFacts(
+        return platform_base.AnswerFacts(
             request_id=headers.get(names.REQUEST_ID.lower()),
             is_not_run=is_not_run,
             version=_read_version(headers.get(names.VERSIONS.lower())),
@@ -91,7 +91,9 @@
         """See the base class."""
         return _read_version(fields.get(names.VERSIONS.lower()))
 
-    def get_report(self, replica: deployment.Replica) -> base.ReplicaReport:
+    def get_report(
+        self, replica: deployment.Replica
+    ) -> platform_base.ReplicaReport:
         """See the base class."""
         answer = self._call(replica, 'GET', names.REPORT_PATH)
         if answer.status != 200:
@@ -100,7 +102,7 @@
             )
         report = answer.read_json()
         try:
-            return base.ReplicaReport(
+            return platform_base.ReplicaReport(
                 documents.decode_models(report['Models']),
                 bool(report['Busy']),
                 # Not the sequence of entries: counts accepted orders.
@@ -112,8 +114,8 @@
             ) from error
 
     def order_version(
-        self, replica: deployment.Replica, order: base.VersionOrder
-    ) -> base.OrderOutcome:
+        self, replica: deployment.Replica, order: platform_base.VersionOrder
+    ) -> platform_base.OrderOutcome:
         """See the base class."""
         body = {
             'Op': 'Version',
@@ -125,7 +127,9 @@
             'Expect': order.expected_orders,
         }
         answer = self._call(replica, 'POST', names.ORDER_PATH, body)
-        return _ORDER_OUTCOMES.get(answer.status, base.OrderOutcome.REFUSED)
+        return _ORDER_OUTCOMES.get(
+            answer.status, platform_base.OrderOutcome.REFUSED
+        )
 
     def _call(
         self,
@@ -152,7 +156,7 @@
 
 
 def _decode_replica_change(
-    record: base.KeyedRecord,
+    record: platform_base.KeyedRecord,
 ) -> deployment.ReplicaChange:
     replica_id = ids.ReplicaId(record.key)
     if record.value is None:
@@ -171,8 +175,8 @@
 
 def _read_load(
     value: typing.Optional[str],
-) -> typing.Optional[base.ReplicaLoad]:
+) -> typing.Optional[platform_base.ReplicaLoad]:
     parts = (value or '').split(',')
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return None
-    return base.ReplicaLoad(*map(int, parts))
+    return platform_base.ReplicaLoad(*map(int, parts))
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -12,7 +12,7 @@
 import typing
 import urllib.parse
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_client
@@ -31,7 +31,7 @@
 READ_HEAD = struct.Struct('>QQ')
 
 
-class PlatformStore(base.RecordStore):
+class PlatformStore(platform_base.RecordStore):
     """Streams of the platform's store."""
 
     def __init__(self, settings: settings_module.Store) -> None:
@@ -83,7 +83,7 @@
         *,
         wait_s: float = 0.0,
         limit_bytes: int = 262_144,
-    ) -> base.RawPage:
+    ) -> platform_base.RawPage:
         """See the base class."""
         query = {
             'Topic': stream,
@@ -100,15 +100,15 @@
             )
         if answer.status == 404:
             # Streams come to exist with their first record.
-            return base.RawPage((), ids.Offset(0))
+            return platform_base.RawPage((), ids.Offset(0))
         self._check(answer, stream)
         return _decode_page(answer.body, start)
 
     def read_newest(
         self, stream: str
-    ) -> tuple[list[base.KeyedRecord], ids.Offset]:
+    ) -> tuple[list[platform_base.KeyedRecord], ids.Offset]:
         """See the base class."""
-        found: list[base.KeyedRecord] = []
+        found: list[platform_base.KeyedRecord] = []
         query: dict[str, typing.Any] = {'Topic': stream, 'part': PARTITION}
         end: typing.Optional[int] = None
         while True:
@@ -122,12 +122,14 @@
             end = page['End'] if end is None else end
             for entry in page['Entries']:
                 value = base64.b64decode(entry.get('Value') or '')
-                found.append(base.KeyedRecord(entry['Key'], value or None))
+                found.append(
+                    platform_base.KeyedRecord(entry['Key'], value or None)
+                )
             if not page['HasMore'] or not page['Entries']:
                 return found, ids.Offset(end)
             query['After'] = page['Entries'][-1]['Key']
 
-    def decode_keyed(self, body: bytes) -> base.KeyedRecord:
+    def decode_keyed(self, body: bytes) -> platform_base.KeyedRecord:
         """See the base class."""
         if not body or len(body) < 1 + body[0]:
             raise exceptions.UnreadableRecordError(
@@ -140,7 +142,7 @@
             raise exceptions.UnreadableRecordError(
                 f'a key is not UTF-8: {error}'
             ) from error
-        return base.KeyedRecord(key, body[end:] or None)
+        return platform_base.KeyedRecord(key, body[end:] or None)
 
     def _read(
         self, path: str, query: dict, wait_s: float
@@ -181,7 +183,7 @@
             )
 
 
-def _decode_page(body: bytes, start: ids.Offset) -> base.RawPage:
+def _decode_page(body: bytes, start: ids.Offset) -> platform_base.RawPage:
     try:
         end, oldest = READ_HEAD.unpack_from(body)
         position = READ_HEAD.size
@@ -193,14 +195,14 @@
             record = body[position : position + length]
             if len(record) < length:
                 raise exceptions.LogUnavailableError('a record is cut short')
-            found.append(base.RawRecord(ids.Offset(offset), record))
+            found.append(platform_base.RawRecord(ids.Offset(offset), record))
             position += length
             offset += 1
     except struct.error as error:
         raise exceptions.LogUnavailableError(
             f'the store sent a page that ends early: {error}'
         ) from error
-    return base.RawPage(tuple(found), ids.Offset(end))
+    return platform_base.RawPage(tuple(found), ids.Offset(end))
 
 
 def decode_json(value: bytes) -> typing.Any:
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 
 
@@ -19,7 +19,7 @@
     LATE = 'late'
 
 
-class FakeStore(base.RecordStore):
+class FakeStore(platform_base.RecordStore):
     """Keeps records by stream; the next appends fail as ``faults`` say."""
 
     def __init__(self) -> None:
@@ -67,10 +67,10 @@
             size += len(body)
             if records and size > limit_bytes:
                 break
-            records.append(base.RawRecord(offset, body))
+            records.append(platform_base.RawRecord(offset, body))
         if not records and wait_s:
             eventlet.sleep(min(wait_s, 0.01))
-        return base.RawPage(tuple(records), len(self.streams[stream]))
+        return platform_base.RawPage(tuple(records), len(self.streams[stream]))
 
     def read_newest(self, stream):
         """See the base class."""
@@ -88,7 +88,9 @@
         if not body:
             raise exceptions.UnreadableRecordError('no key')
         end = 1 + body[0]
-        return base.KeyedRecord(body[1:end].decode(), body[end:] or None)
+        return platform_base.KeyedRecord(
+            body[1:end].decode(), body[end:] or None
+        )
 
 
 def encode_keyed(key: str, value: bytes = b'') -> bytes:
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -8,6 +8,7 @@
 from lentildeal._internal.directory import replicas
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import texts as texts_module
 from lentildeal._internal.jobs import work_log
 from tests.lib import fake_store
 from tests.lib import job_builders
@@ -140,7 +141,7 @@
 
 def test_texts_larger_than_the_cache_are_read_whole(store, log, monkeypatch):
     # Guards against a text that is evicted while the others are read.
-    monkeypatch.setattr(work_log, 'CACHE_BYTES', 100)
+    monkeypatch.setattr(texts_module, 'CACHE_BYTES', 100)
     places = log.append_texts(
         records.text_stream('job'),
         [records.EventTexts(('x' * 40,)) for _ in range(8)],
--- a/tests/unit/platform/test_documents.py
+++ b/tests/unit/platform/test_documents.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lentildeal._internal.adapters import base
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.platform import adapter
@@ -114,7 +114,9 @@
 
     def decode(stream, key, value):
         data = None if value is None else json.dumps(value).encode()
-        return platform.decode_change(stream, base.KeyedRecord(key, data))
+        return platform.decode_change(
+            stream, platform_base.KeyedRecord(key, data)
+        )
 
     named = decode(operators, 'version/m', {'Model': 'm', 'Version': 4})
     assert named == deployment.VersionNamed('m', 4)
