Open a job again after a read of its texts failed

Cause: a failed read of a carried item's text ended the green thread that opens a job, so that the job never ran at this daemon. Change: the whole opening is repeated, under the kernel's supervision, with a line of its own. A checkpoint that the store has dropped is done without.

--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -126,10 +126,12 @@
         if facts.load is not None:
             # Now, as a load that was reported seconds ago says nothing.
             self._on_load(facts.load)
-        if facts.request_id not in (None, item.item_id):
+        # Only a refusal may come without the id.
+        is_foreign = facts.request_id not in (None, item.item_id)
+        if is_foreign or (response.status == 200 and not facts.request_id):
             self.reason = f'answer of another request, {facts.request_id}'
             return Ending.BROKEN
-        if response.status == 200 and facts.request_id == item.item_id:
+        if response.status == 200:
             if facts.version is None or facts.version < self._min_version:
                 self.reason = f'version {facts.version} is too old'
                 return Ending.BROKEN
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.models import deployment
@@ -81,7 +82,11 @@
 def _load_progress(
     work_log: work_log_module.WorkLog, saved: table.SavedProgress
 ) -> jobs.Progress:
-    (texts,) = work_log.read_texts([saved.place])
+    try:
+        (texts,) = work_log.read_texts([saved.place])
+    except exceptions.LogTrimmedError:
+        # The store keeps records for a time only; the item starts again.
+        return jobs.Progress()
     return jobs.Progress(texts.events, saved.last_event_id, saved.versions)
 
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -121,7 +121,7 @@
                 continue
             if self._holds(entry.head.model):
                 job = self._jobs[entry.head.job_id] = _OpenJob(entry)
-                eventlet.spawn_n(self._load, job)
+                self._kernel.spawn('job-load', self._load, job)
 
     def _close_finished(self) -> None:
         for job_id, job in list(self._jobs.items()):
@@ -150,11 +150,15 @@
                 loaded = loading.load_tasks(
                     self._log, self._directory.text, job.entry
                 )
+                self._reuse_texts(job, loaded)
             except exceptions.PlatformError as error:
-                events.emit('append_retried', records=0, reason=error.message)
+                events.emit(
+                    'job_open_retried',
+                    job=job.entry.head.job_id,
+                    reason=error.message,
+                )
                 eventlet.sleep(OPEN_RETRY_S)
                 continue
-            self._reuse_texts(job, loaded)
             job.tasks = loaded
             events.emit(
                 'job_opened',
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -190,6 +190,10 @@
             if self._next >= page.end:
                 return
 
+    def forget_texts(self) -> None:
+        """Drops the texts in memory."""
+        self._cache = texts_module.TextCache()
+
     def read_texts(
         self, places: typing.Sequence[records.Place]
     ) -> list[typing.Any]:
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -248,6 +248,12 @@
     waiting='Items to run.',
     resumed='Items that have a checkpoint.',
 )
+define(
+    'job_open_retried',
+    'The items of a job could not be read and are read again.',
+    job='Job id.',
+    reason='Why.',
+)
 define(
     'item_started',
     'An item was sent to a replica.',
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -9,6 +9,7 @@
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import records
 
 
 class Fault(enum.Enum):
@@ -29,6 +30,7 @@
         self.late: list[tuple[str, list[bytes]]] = []
         self.is_down = False
         self.reads = 0
+        self.failing_text_reads = 0
 
     def append(self, stream, bodies, *, timeout_s=None):
         """See the base class."""
@@ -59,18 +61,21 @@
         self.reads += 1
         if self.is_down:
             raise exceptions.LogUnavailableError('down')
+        if stream != records.WORK_STREAM and self.failing_text_reads:
+            self.failing_text_reads -= 1
+            raise exceptions.LogUnavailableError('one read failed')
         if start < self.oldest[stream]:
             raise exceptions.LogTrimmedError('gone', self.oldest[stream])
-        records, size = [], 0
+        found, size = [], 0
         for offset in range(start, len(self.streams[stream])):
             body = self.streams[stream][offset]
             size += len(body)
-            if records and size > limit_bytes:
+            if found and size > limit_bytes:
                 break
-            records.append(platform_base.RawRecord(offset, body))
-        if not records and wait_s:
+            found.append(platform_base.RawRecord(offset, body))
+        if not found and wait_s:
             eventlet.sleep(min(wait_s, 0.01))
-        return platform_base.RawPage(tuple(records), len(self.streams[stream]))
+        return platform_base.RawPage(tuple(found), len(self.streams[stream]))
 
     def read_newest(self, stream):
         """See the base class."""
--- a/tests/lib/job_builders.py
+++ b/tests/lib/job_builders.py
@@ -12,6 +12,8 @@
 MODEL = 'model'
 SERVICE = 'engines'
 HOST = 'club.example'
+# Time of day of tests that need one, in seconds.
+NOW_S = 1_000_000.0
 
 
 def make_item(item_id='i0', group='g0', **overrides) -> jobs.Item:
