--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 import pathlib
 import random
 import shutil
@@ -183,7 +184,9 @@
 
     def _publish(self) -> None:
         version = int(time.monotonic() * 10)
-        self.world.write_text(version)
+        # A write of the operators is refused or loses its answer as well.
+        with contextlib.suppress(OSError):
+            self.world.write_text(version)
 
 
 def play_seed(seed: int, options) -> bool:
@@ -194,6 +197,8 @@
         try:
             broken = soak.play()
         finally:
+            # Client threads would keep the process alive after a failure.
+            soak.clients.is_ending.set()
             soak.close()
         if broken:
             kept = pathlib.Path(options.keep) / f'seed-{seed}'
