Start a moved item at the replica it was moved for

Cause: a run that was moved off a slow replica joined the waiting items. Ruled out: forbidding the slow replica for a while; the item would then wait although its run was stopped for a free slot elsewhere. Change: the decision names the faster replica, and the run goes on there before other items are assigned. The versions of the stopped run are taken into account, which matters on single-version routes.

--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -69,11 +69,14 @@
     def progress(self) -> jobs.Progress:
         """All events so far, also those of earlier runs."""
         return jobs.Progress(
-            tuple(self._events),
-            self._last_event_id,
-            tuple(sorted(self._versions)),
+            tuple(self._events), self._last_event_id, self.versions
         )
 
+    @property
+    def versions(self) -> tuple[int, ...]:
+        """Versions of all events so far, ascending."""
+        return tuple(sorted(self._versions))
+
     @property
     def event_count(self) -> int:
         """Number of events so far, also those of earlier runs."""
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -252,20 +252,24 @@
             ):
                 self._use.record_failure(attempt.replica.replica_id)
                 self._move(task, 'silent')
-            elif self._should_move(task, attempt):
+                continue
+            faster = self._find_faster(task, attempt)
+            if faster is not None:
                 self._move(task, 'slow')
+                self._start_attempt(task, faster)
 
-    def _should_move(
+    def _find_faster(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
-    ) -> bool:
+    ) -> typing.Optional[scheduling.Candidate]:
         pace_s = attempt.pace_s
         if pace_s is None or attempt.run_events < scheduling.JUDGED_EVENTS:
-            return False
+            return None
         self._paces.record(attempt.replica.replica_id, pace_s)
         route = self._find_route(task)
-        if route is None:
-            return False
-        return scheduling.should_move(
+        # A daemon that lost the duty starts no runs.
+        if route is None or not self._holds(task.entry.head.model):
+            return None
+        return scheduling.find_faster(
             need=task.make_need(route.is_single_version),
             run_pace_s=pace_s,
             run_events=attempt.run_events,
--- a/src/lentildeal/_internal/jobs/scheduling.py
+++ b/src/lentildeal/_internal/jobs/scheduling.py
@@ -133,7 +133,7 @@
     return silence_s > limit_s
 
 
-def should_move(
+def find_faster(
     *,
     need: Need,
     run_pace_s: float,
@@ -142,8 +142,11 @@
     moves: int,
     current: ids.ReplicaId,
     candidates: typing.Iterable[Candidate],
-) -> bool:
-    """Whether a run ends sooner if it goes on at another replica.
+) -> typing.Optional[Candidate]:
+    """Replica at which a run ends sooner, None if it should stay.
+
+    The run has to go on at this replica at once: if it waited with the other
+    items, these could take the slots that it was moved for.
 
     Args:
         need: What the item needs.
@@ -155,15 +158,17 @@
         candidates: All replicas.
     """
     if run_events < JUDGED_EVENTS or moves >= MAX_MOVES:
-        return False
+        return None
     if expected_left < MOVE_MIN_LEFT_EVENTS:
-        return False
-    return any(
-        candidate.pace_s is not None
-        and candidate.replica_id != current
-        and not candidate.is_avoided
-        and candidate.free_slots > 0
-        and fits(need, candidate)
-        and candidate.pace_s * MOVE_FACTOR < run_pace_s
-        for candidate in candidates
+        return None
+    return choose_replica(
+        need,
+        (
+            candidate
+            for candidate in candidates
+            if candidate.pace_s is not None
+            and candidate.replica_id != current
+            and not candidate.is_avoided
+            and candidate.pace_s * MOVE_FACTOR < run_pace_s
+        ),
     )
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -69,8 +69,11 @@
     def make_need(self, is_single_version: bool) -> scheduling.Need:
         """What the item needs from its next replica."""
         only = None
-        if is_single_version and self.progress.versions:
-            only = ids.Version(self.progress.versions[0])
+        versions = self.progress.versions
+        if self.attempt is not None:
+            versions = self.attempt.versions
+        if is_single_version and versions:
+            only = ids.Version(versions[0])
         return scheduling.Need(
             self.entry.head.min_version, only, frozenset(self.excluded)
         )
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -1,14 +1,19 @@
-"""Opening of jobs while the store fails."""
+"""Opening of jobs while the store fails, and moves of running items."""
 
 import types
 
 import eventlet
+from eventlet import event
 import pytest
 
 from lentildeal._internal.directory import replicas
+from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
 from lentildeal._internal.jobs import work_log
+from lentildeal._internal.models import deployment
+from lentildeal._internal.models import jobs
+from lentildeal._internal.utils import clock
 from tests.lib import fake_store
 from tests.lib import job_builders
 
@@ -42,13 +47,62 @@
         self.threads.append(eventlet.spawn(function, *arguments))
 
 
+class Replicas:
+    """Replicas whose runs go on until the test completes them."""
+
+    def __init__(self):
+        # Items in the order of their starts, by replica.
+        self.started = {}
+        self.runs = {}
+
+    def make_attempt(self, _platform, _connections, replica, progress, *_rest):
+        return Attempt(self, replica, progress)
+
+
+class Attempt:
+    """Run of an item that makes events only when the test says so."""
+
+    def __init__(self, replicas_, replica, progress):
+        self.replica = replica
+        self.progress = progress
+        self.versions = progress.versions
+        self.started_s = self.heard_s = clock.monotonic_s()
+        self.run_events = self.event_count = 0
+        self.pace_s = None
+        self.reason = ''
+        self._replicas = replicas_
+        self._end = event.Event()
+
+    def run(self, _host, item):
+        replica_id = self.replica.replica_id
+        self._replicas.started.setdefault(replica_id, []).append(item.item_id)
+        self._replicas.runs[item.item_id] = self
+        return self._end.wait()
+
+    def make_events(self, count, pace_s):
+        self.progress = jobs.Progress(('text',) * count, str(count), (1,))
+        self.run_events = self.event_count = count
+        self.pace_s = pace_s
+        self.heard_s = clock.monotonic_s()
+
+    def complete(self):
+        self._end.send(attempts.Ending.COMPLETE)
+
+
+@pytest.fixture
+def engines(monkeypatch):
+    found = Replicas()
+    monkeypatch.setattr(attempts, 'Attempt', found.make_attempt)
+    return found
+
+
 @pytest.fixture
 def store():
     return fake_store.FakeStore()
 
 
 @pytest.fixture
-def log(store, monkeypatch):
+def kernel(store, monkeypatch):
     monkeypatch.setattr(
         runner_module.clock, 'unix_s', lambda: job_builders.NOW_S
     )
@@ -56,13 +110,20 @@
     kernel.plugins['work_log'] = work_log.WorkLog(kernel)
     kernel.plugins['work_log'].start()
     kernel.spawn('runner', runner_module.JobRunner(kernel).run)
-    yield kernel.plugins['work_log']
+    yield kernel
     for thread in kernel.threads:
         thread.kill()
 
 
-def submit(log, job_id, item_ids):
-    items = [job_builders.make_item(item_id) for item_id in item_ids]
+@pytest.fixture
+def log(kernel):
+    return kernel.plugins['work_log']
+
+
+def submit(log, job_id, item_ids, **overrides):
+    items = [
+        job_builders.make_item(item_id, **overrides) for item_id in item_ids
+    ]
     ((_, part),) = records.split_items(items, 262_144)
     (place,) = log.append_texts(records.text_stream(job_id), [part])
     accepted = job_builders.make_accepted(
@@ -103,3 +164,25 @@
     (listed,) = log.table.get('new').results
     (text,) = log.read_texts([listed.place])
     assert text.text == 'text'
+
+
+def test_item_moved_off_a_slow_replica_takes_the_slot_it_was_moved_for(
+    kernel, log, engines
+):
+    # Guards against a moved item that goes back to the slow replica, because
+    # a waiting item has taken the free slot of the faster one.
+    add = kernel.plugins['directory'].replicas.apply
+    for replica_id in ('r1', 'r2'):
+        replica = job_builders.make_replica(replica_id, slots=1)
+        add(deployment.ReplicaChange(replica_id, replica))
+    submit(log, 'job', ('i0', 'i1', 'i2'), expected_tokens=100)
+    wait_for(lambda: len(engines.runs) == 2)
+    slow, fast = engines.started['r1'][0], engines.started['r2'][0]
+    engines.runs[fast].make_events(10, 0.04)
+    eventlet.sleep(2 * runner_module.TICK_S)
+    engines.runs[slow].make_events(10, 0.4)
+    engines.runs[fast].complete()
+    wait_for(lambda: len(engines.started['r2']) > 1)
+    eventlet.sleep(2 * runner_module.TICK_S)
+    assert engines.started['r2'][1] == slow
+    assert slow not in engines.started['r1'][1:]
--- a/tests/unit/jobs/test_scheduling.py
+++ b/tests/unit/jobs/test_scheduling.py
@@ -88,7 +88,7 @@
     assert scheduling.choose_replica(need, [newer, same]).replica_id == 'same'
 
 
-def should_move(run_pace_s, candidates, **overrides):
+def find_faster(run_pace_s, candidates, **overrides):
     values = {
         'need': NEED,
         'run_pace_s': run_pace_s,
@@ -99,14 +99,16 @@
         'candidates': candidates,
         **overrides,
     }
-    return scheduling.should_move(**values)
+    found = scheduling.find_faster(**values)
+    return None if found is None else found.replica_id
 
 
 def test_run_is_moved_from_a_slow_replica():
     # Pattern: a replica turns slow while a straggler runs on it.
     fast = job_builders.make_candidate('fast', version=5, pace_s=0.04)
-    assert should_move(0.12, [fast])
-    assert not should_move(0.05, [fast])
+    slow = job_builders.make_candidate('slow', version=5, pace_s=0.12)
+    assert find_faster(0.12, [slow, fast]) == 'fast'
+    assert find_faster(0.05, [slow, fast]) is None
 
 
 def test_run_is_not_moved_without_gain():
@@ -117,12 +119,12 @@
     )
     old = job_builders.make_candidate('fast', version=4, pace_s=0.04)
     unknown = job_builders.make_candidate('fast', version=5)
-    assert not should_move(0.12, [fast], moves=scheduling.MAX_MOVES)
-    assert not should_move(0.12, [fast], expected_left=2.0)
-    assert not should_move(0.12, [fast], run_events=2)
-    assert not should_move(0.12, [full])
-    assert not should_move(0.12, [old])
-    assert not should_move(0.12, [unknown])
+    assert find_faster(0.12, [fast], moves=scheduling.MAX_MOVES) is None
+    assert find_faster(0.12, [fast], expected_left=2.0) is None
+    assert find_faster(0.12, [fast], run_events=2) is None
+    assert find_faster(0.12, [full]) is None
+    assert find_faster(0.12, [old]) is None
+    assert find_faster(0.12, [unknown]) is None
 
 
 def test_silence_is_judged_by_the_pace_of_the_replica():
