Refuse a job at once while the store is known to be silent

Ruled out: a shorter limit for the append that accepts the job; its answer decides whether a refusal is true. Change: no attempt while the log has not answered for GAP_S; items are stored within the time of a submission, as nothing runs from items alone. Retry-After grows with the outage, from 0.5 to 3 s: trainers repeat a submission once, and a repeat within the outage costs the job.

--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -24,6 +24,15 @@
 # Time in which an append is tried again before the trainer is told to come
 # back; a repeat at another daemon costs it less than a longer wait.
 SUBMIT_S = 1.5
+# Shortest wait for an answer to one append; answers take 4 ms, and 60 times
+# as long in a slow phase of the platform.
+APPEND_MIN_S = 0.3
+# An outage of unknown length is expected to last as long again as it has
+# lasted (Lindy effect). Trainers repeat a submission a few times only, so
+# that a repeat within the outage costs the whole job; their steps are due
+# after several seconds, so that a longer wait costs more than it saves.
+RETRY_MIN_S = 0.5
+RETRY_MAX_S = 3.0
 # Time in which the outcome of an append without an answer is looked for.
 OUTCOME_S = 2.5
 END_S = 3.0
@@ -168,14 +177,17 @@
     def _submit(self, job: jobs.Job) -> None:
         if self._is_known(job.head.job_id):
             return
+        if not self._log.is_answering:
+            raise self._make_refusal('no answer lately')
         limit = self._kernel.settings.store.record_bytes
         parts = records.split_items(job.items, limit)
         deadline = clock.Deadline(SUBMIT_S)
         accepted: typing.Optional[records.JobAccepted] = None
         while True:
+            timeout_s = max(APPEND_MIN_S, deadline.remaining_s)
             try:
                 if accepted is None:
-                    accepted = self._store_items(job, parts)
+                    accepted = self._store_items(job, parts, timeout_s)
                 self._log.append([accepted])
                 return
             except exceptions.LogAnswerLostError as error:
@@ -187,19 +199,37 @@
             except exceptions.LogUnavailableError as error:
                 failure = error
             if deadline.has_passed:
-                raise _make_unsure(failure) from failure
+                raise self._make_refusal(failure.message) from failure
             eventlet.sleep(RETRY_S)
 
+    def _make_refusal(self, reason: str) -> exceptions.NotRunError:
+        silence_s = self._log.silence_s
+        return exceptions.NotRunError(
+            f'the store does not answer: {reason}',
+            cause='store_down',
+            retry_after_s=min(RETRY_MAX_S, max(RETRY_MIN_S, silence_s)),
+        )
+
     def _store_items(
-        self, job: jobs.Job, parts: list[tuple[int, records.JobPart]]
+        self,
+        job: jobs.Job,
+        parts: list[tuple[int, records.JobPart]],
+        timeout_s: float,
     ) -> records.JobAccepted:
         """Appends the items to a text stream.
 
+        Args:
+            job: The job.
+            parts: First item and items of each record.
+            timeout_s: Longest wait for an answer.
+
         Raises:
             exceptions.PlatformError: They may not be stored.
         """
         places = self._log.append_texts(
-            records.text_stream(job.head.job_id), [part for _, part in parts]
+            records.text_stream(job.head.job_id),
+            [part for _, part in parts],
+            timeout_s,
         )
         return records.JobAccepted(
             dataclasses.astuple(job.head),
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -82,19 +82,25 @@
         """Whether the log has been read to its end once."""
         return self._is_caught_up
 
+    @property
+    def silence_s(self) -> float:
+        """Time since the log answered last, in seconds."""
+        return clock.boottime_s() - self._heard_s
+
+    @property
+    def is_answering(self) -> bool:
+        """Whether the log has answered within the time of one read."""
+        return self.silence_s <= GAP_S
+
     @property
     def is_heard(self) -> bool:
         """Whether the log is read to its end and answers."""
-        silence_s = clock.boottime_s() - self._heard_s
-        return self._is_caught_up and silence_s <= UNHEARD_S
+        return self._is_caught_up and self.silence_s <= UNHEARD_S
 
     @property
     def heard_since_s(self) -> float:
         """Since when the log has been read without a gap, in seconds."""
-        now_s = clock.boottime_s()
-        if now_s - self._heard_s > GAP_S:
-            return now_s
-        return self._heard_since_s
+        return self._heard_since_s if self.is_answering else clock.boottime_s()
 
     @property
     def queued_count(self) -> int:
@@ -138,16 +144,25 @@
         return offset
 
     def append_texts(
-        self, stream: str, texts: typing.Sequence[records.Payload]
+        self,
+        stream: str,
+        texts: typing.Sequence[records.Payload],
+        timeout_s: typing.Optional[float] = None,
     ) -> list[records.Place]:
         """Appends texts, all or none, and returns their places.
 
+        Args:
+            stream: Text stream.
+            texts: Texts.
+            timeout_s: Longest wait for an answer; the store's default
+                without one.
+
         Raises:
             exceptions.LogUnavailableError: The append had no effect.
             exceptions.LogAnswerLostError: Nobody will know the places.
         """
         bodies = [records.encode(text) for text in texts]
-        first = self._store.append(stream, bodies)
+        first = self._store.append(stream, bodies, timeout_s=timeout_s)
         places = [
             records.Place(stream, ids.Offset(first + number), len(body))
             for number, body in enumerate(bodies)
@@ -244,7 +259,8 @@
                 page = self._store.read(
                     records.WORK_STREAM,
                     self._next,
-                    wait_s=WAIT_S if self._is_caught_up else 0.0,
+                    # Without a wait the end of an outage is noticed sooner.
+                    wait_s=WAIT_S if self._may_wait else 0.0,
                     limit_bytes=READ_BYTES,
                 )
             except exceptions.LogTrimmedError as error:
@@ -266,6 +282,10 @@
                 )
             eventlet.sleep(SPACING_S if self._is_caught_up else 0)
 
+    @property
+    def _may_wait(self) -> bool:
+        return self._is_caught_up and self._is_reachable
+
     def _note_unheard(self, reason: str) -> None:
         if self._is_reachable:
             events.emit(
@@ -280,7 +300,7 @@
             events.emit('dependency_regained', dependency=records.WORK_STREAM)
         self._is_reachable = True
         now_s = clock.boottime_s()
-        if now_s - self._heard_s > GAP_S:
+        if not self.is_answering:
             self._heard_since_s = now_s
         self._heard_s = now_s
 
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -12,6 +12,11 @@
 from lentildeal._internal.jobs import records
 
 
+# Time limits of calls that name none, as those of the adapter.
+APPEND_TIMEOUT_S = 2.5
+READ_TIMEOUT_S = 1.5
+
+
 class Fault(enum.Enum):
     """What happens to one append."""
 
@@ -29,11 +34,16 @@
         self.faults: list[Fault | None] = []
         self.late: list[tuple[str, list[bytes]]] = []
         self.is_down = False
+        # Calls get no answer and end at their time limit.
+        self.is_silent = False
         self.reads = 0
         self.failing_text_reads = 0
 
     def append(self, stream, bodies, *, timeout_s=None):
         """See the base class."""
+        if self.is_silent:
+            eventlet.sleep(timeout_s or APPEND_TIMEOUT_S)
+            raise exceptions.LogAnswerLostError('no answer in time')
         fault = self.faults.pop(0) if self.faults else None
         if self.is_down or fault is Fault.REFUSED:
             raise exceptions.LogUnavailableError('refused')
@@ -59,6 +69,9 @@
     def read(self, stream, start, *, wait_s=0.0, limit_bytes=262_144):
         """See the base class."""
         self.reads += 1
+        if self.is_silent:
+            eventlet.sleep(wait_s + READ_TIMEOUT_S)
+            raise exceptions.LogUnavailableError('no answer in time')
         if self.is_down:
             raise exceptions.LogUnavailableError('down')
         if stream != records.WORK_STREAM and self.failing_text_reads:
