Send a repeatable request again when its idle connection was closed

Cause: on the grown deployments replicas drop idle connections sooner than they say, and reset what is sent next. A live call then lost one of its attempts and the replica was blamed for a failure; an item waited for the avoidance of its replica. A call that may not be repeated ended without an answer. Ruled out: a shorter idle time; the replica's time is not known, and each new connection is priced. Change: a repeatable request on a used connection that closes without an answer is sent once more on a new one, and the other idle connections to that replica are closed. Measured: three tests with a target that closes after each answer; the old code raises MayHaveRunError in the first of them.

--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -155,6 +155,10 @@
         self.body = body
 
 
+class ConnectionClosedError(MayHaveRunError):
+    """A connection was closed before any answer to a request."""
+
+
 class TruncatedAnswerError(MayHaveRunError):
     """A connection closed before the end marker of the answer."""
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -155,10 +155,9 @@
     def attempt(
         self,
         replica: deployment.Replica,
+        route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-        *,
-        is_stream: bool,
     ) -> _Ending:
         """Sends a call to one replica and reads its answer."""
         replica_id = replica.replica_id
@@ -166,7 +165,7 @@
         self._running[replica_id] = self._running.get(replica_id, 0) + 1
         self._health.begin(replica.address)
         try:
-            ending = self._send(replica, call, deadline, is_stream=is_stream)
+            ending = self._send(replica, route, call, deadline)
         finally:
             self._running[replica_id] -= 1
             self._health.end(replica.address)
@@ -185,11 +184,11 @@
     def _send(
         self,
         replica: deployment.Replica,
+        route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-        *,
-        is_stream: bool,
     ) -> _Ending:
+        is_stream = route.kind is deployment.RouteKind.STREAM
         platform = self._directory.platform
         headers = calls.drop_connection_headers(call.headers)
         headers += tuple(
@@ -203,6 +202,7 @@
                 headers,
                 call.body,
                 silence_s=max(0.001, deadline.remaining_s),
+                is_repeatable=route.kind is deployment.RouteKind.SAFE,
             )
         except exceptions.NotRunError as error:
             return _Ending(replica, None, True, error.message)
@@ -344,10 +344,9 @@
         self._threads.append(eventlet.spawn(self._attempt, replica))
 
     def _attempt(self, replica: deployment.Replica) -> None:
-        is_stream = self._route.kind is deployment.RouteKind.STREAM
         self._endings.put(
             self._gateway.attempt(
-                replica, self._call, self._deadline, is_stream=is_stream
+                replica, self._route, self._call, self._deadline
             )
         )
 
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -105,6 +105,7 @@
                 headers,
                 item.body,
                 silence_s=SOCKET_SILENCE_S,
+                is_repeatable=True,
             )
         except exceptions.NotRunError as error:
             self.reason = error.message
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -40,6 +40,38 @@
     usable_until_s: float
 
 
+class _Request(typing.NamedTuple):
+    """A request that is written as it is."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+    def write(self, connection: urllib3.connection.HTTPConnection) -> None:
+        """Writes the request.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        fields = urllib3.HTTPHeaderDict()
+        for name, value in self.headers:
+            fields.add(name, value)
+        # Nothing is added to what the caller sent.
+        for name in ('User-Agent', 'Accept-Encoding'):
+            if name not in fields:
+                fields.add(name, urllib3.util.SKIP_HEADER)
+        connection.request(
+            self.method,
+            self.target,
+            body=self.body or None,
+            headers=fields,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+
+
 class TargetResponse:
     """A response whose body is read while it arrives."""
 
@@ -142,9 +174,15 @@
         body: bytes,
         *,
         silence_s: float,
+        is_repeatable: bool,
     ) -> TargetResponse:
         """Sends a request and waits for the head of its response.
 
+        A target may close an idle connection without notice, and then resets
+        what is sent next. A request that may be repeated is sent once more on
+        a new connection; any other one never goes on a used connection, as
+        nobody could tell whether it ran.
+
         Args:
             address: Where the target listens.
             method: HTTP method.
@@ -152,20 +190,43 @@
             headers: Headers, sent as they are.
             body: Whole body.
             silence_s: Longest silence of the target, in seconds.
+            is_repeatable: Whether the request may run more than once.
 
         Raises:
             exceptions.NotRunError: No byte was sent.
             exceptions.MayHaveRunError: Bytes were sent and no head came.
         """
-        connection = self._take(address, silence_s)
+        request = _Request(method, target, headers, body)
+        idle = self._take_idle(address) if is_repeatable else None
+        if idle is not None:
+            try:
+                return self._exchange(address, idle, request, silence_s)
+            except exceptions.ConnectionClosedError:
+                # Others that were idle as long are closed, too.
+                self.forget(address)
+        fresh = self._connect(address, silence_s)
+        return self._exchange(address, fresh, request, silence_s)
+
+    def _exchange(
+        self,
+        address: ids.ReplicaAddress,
+        connection: urllib3.connection.HTTPConnection,
+        request: _Request,
+        silence_s: float,
+    ) -> TargetResponse:
         is_answered = False
         try:
             connection.timeout = silence_s
             if connection.sock is not None:
                 connection.sock.settimeout(silence_s)
-            _write_request(connection, method, target, headers, body)
+            request.write(connection)
             response = connection.getresponse()
             is_answered = True
+        except ConnectionError as error:
+            raise exceptions.ConnectionClosedError(
+                f'{request.method} {address}: closed without an answer:'
+                f' {error!r}'
+            ) from error
         except (
             urllib3.exceptions.HTTPError,
             http.client.HTTPException,
@@ -173,7 +234,7 @@
             ValueError,
         ) as error:
             raise exceptions.MayHaveRunError(
-                f'{method} {address}: no answer: {error!r}'
+                f'{request.method} {address}: no answer: {error!r}'
             ) from error
         finally:
             if not is_answered:
@@ -208,9 +269,9 @@
             if not queue:
                 del self._idle[address]
 
-    def _take(
-        self, address: ids.ReplicaAddress, silence_s: float
-    ) -> urllib3.connection.HTTPConnection:
+    def _take_idle(
+        self, address: ids.ReplicaAddress
+    ) -> typing.Optional[urllib3.connection.HTTPConnection]:
         queue = self._idle.get(address)
         while queue:
             idle = queue.pop()
@@ -219,7 +280,7 @@
             if is_fresh and idle.connection.is_connected:
                 return idle.connection
             idle.connection.close()
-        return self._connect(address, silence_s)
+        return None
 
     def _connect(
         self, address: ids.ReplicaAddress, silence_s: float
@@ -238,31 +299,6 @@
         return connection
 
 
-def _write_request(
-    connection: urllib3.connection.HTTPConnection,
-    method: str,
-    target: str,
-    headers: Headers,
-    body: bytes,
-) -> None:
-    fields = urllib3.HTTPHeaderDict()
-    for name, value in headers:
-        fields.add(name, value)
-    # Nothing is added to what the caller sent.
-    for name in ('User-Agent', 'Accept-Encoding'):
-        if name not in fields:
-            fields.add(name, urllib3.util.SKIP_HEADER)
-    connection.request(
-        method,
-        target,
-        body=body or None,
-        headers=fields,
-        preload_content=False,
-        decode_content=False,
-        enforce_content_length=True,
-    )
-
-
 def _read_idle_s(headers: typing.Mapping[str, str]) -> float:
     for part in headers.get('keep-alive', '').split(','):
         name, _, value = part.strip().partition('=')
--- /dev/null
+++ b/tests/functional/test_target_connections.py
@@ -0,0 +1,102 @@
+"""Requests on connections that a target has closed without notice."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.network import target_connections
+
+ANSWER = (
+    b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
+)
+
+
+class ForgetfulTarget:
+    """Answers one request a connection, then resets what comes next.
+
+    Attributes:
+        connections: Connections so far.
+        requests: Requests read so far, answered or not.
+        is_resetting: Whether no request is answered any more.
+    """
+
+    def __init__(self):
+        self.connections = 0
+        self.requests = 0
+        self.is_resetting = False
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self):
+        return f'127.0.0.1:{self._listener.getsockname()[1]}'
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._answer, args=(connection,), daemon=True
+                ).start()
+
+    def _answer(self, connection):
+        with contextlib.suppress(OSError), contextlib.closing(connection):
+            if connection.recv(65536):
+                self.requests += 1
+                if self.is_resetting:
+                    return
+                connection.sendall(ANSWER)
+            if connection.recv(65536):
+                self.requests += 1
+
+
+@pytest.fixture
+def target():
+    with contextlib.closing(ForgetfulTarget()) as found:
+        yield found
+
+
+def send(connections, target, *, is_repeatable):
+    return connections.send(
+        target.address,
+        'POST',
+        '/path',
+        [('Host', 'club.example')],
+        b'body',
+        silence_s=2.0,
+        is_repeatable=is_repeatable,
+    ).read()
+
+
+def test_repeatable_request_goes_on_a_new_connection(target):
+    # Guards against a failed call because a target closed an idle
+    # connection sooner than it had said.
+    connections = target_connections.TargetConnections()
+    for _ in range(3):
+        assert send(connections, target, is_repeatable=True) == b'ok'
+    assert target.connections == 3
+
+
+def test_request_that_may_not_be_repeated_takes_no_used_connection(target):
+    # Guards against a call of which nobody can tell whether it ran.
+    connections = target_connections.TargetConnections()
+    assert send(connections, target, is_repeatable=True) == b'ok'
+    assert send(connections, target, is_repeatable=False) == b'ok'
+    assert (target.connections, target.requests) == (2, 2)
+
+
+def test_request_is_sent_twice_at_most(target):
+    # Guards against repeating a request that a target refuses by a reset.
+    connections = target_connections.TargetConnections()
+    assert send(connections, target, is_repeatable=True) == b'ok'
+    target.is_resetting = True
+    with pytest.raises(exceptions.ConnectionClosedError):
+        send(connections, target, is_repeatable=True)
+    assert target.requests == 3
