Repeat reads, reports and orders whose idle connection was closed

Cause: a report of a replica that failed on a connection closed without notice kept this replica from loading a version for two seconds; a read of the store that failed so counted as a lost dependency. Ruled out: repeating appends, too; their callers look for the outcome. Change: calls that may take effect twice are made once more on a new connection. An order names the count of orders that it expects, so a repeat has no second effect.

--- a/src/lentildeal/_internal/network/http_client.py
+++ b/src/lentildeal/_internal/network/http_client.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 import typing
 
@@ -125,9 +126,22 @@
         timeout_s: float,
         body: typing.Optional[bytes] = None,
         headers: typing.Optional[dict[str, str]] = None,
+        is_repeatable: bool = False,
     ) -> HttpAnswer:
         """Calls and reads the whole response.
 
+        A server may close an idle connection without notice, and then resets
+        what is sent next. A call that may be repeated is then made once more
+        on a new connection.
+
+        Args:
+            method: HTTP method.
+            url: Absolute URL.
+            timeout_s: Longest time until the whole response, in seconds.
+            body: Request body.
+            headers: Request headers.
+            is_repeatable: Whether the call may take effect twice.
+
         Raises:
             exceptions.NotRunError: No byte was sent.
             exceptions.MayHaveRunError: No complete response came in time.
@@ -138,9 +152,22 @@
                 f'{method} {url}: no whole answer within {timeout_s:.1f} s'
             ),
         ):
-            answer = self.open(
-                method, url, timeout_s=timeout_s, body=body, headers=headers
+            call = functools.partial(
+                self.open,
+                method,
+                url,
+                timeout_s=timeout_s,
+                body=body,
+                headers=headers,
             )
+            try:
+                answer = call()
+            except exceptions.ConnectionClosedError:
+                if not is_repeatable:
+                    raise
+                # Others that were idle as long are closed, too.
+                self.close_idle()
+                answer = call()
             return HttpAnswer(answer.status, answer.headers, answer.read())
 
     def close_idle(self) -> None:
@@ -207,12 +234,19 @@
                 cause='target_down',
             ) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise exceptions.MayHaveRunError(
-                f'{method} {url}: no answer: {error}'
-            ) from error
+            kind = exceptions.MayHaveRunError
+            if _is_closed(error):
+                kind = exceptions.ConnectionClosedError
+            raise kind(f'{method} {url}: no answer: {error}') from error
         return StreamingAnswer(response)
 
 
+def _is_closed(error: Exception) -> bool:
+    """Whether a connection was closed before any answer."""
+    causes = (error, *error.args)
+    return any(isinstance(cause, ConnectionError) for cause in causes)
+
+
 def _check_end_is_marked(response: urllib3.BaseHTTPResponse) -> None:
     """Refuses a body whose early end could not be noticed."""
     if response.status in (204, 304):
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -150,6 +150,8 @@
                 timeout_s=CONTROL_TIMEOUT_S,
                 body=body,
                 headers=headers,
+                # An order that is repeated names the same count of orders.
+                is_repeatable=True,
             )
         except (exceptions.NotRunError, exceptions.MayHaveRunError) as error:
             raise exceptions.PlatformError(error.message) from error
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -169,7 +169,11 @@
         )
         try:
             return self._client.request(
-                method, url, timeout_s=timeout_s, body=body
+                method,
+                url,
+                timeout_s=timeout_s,
+                body=body,
+                is_repeatable=method == 'GET',
             )
         except exceptions.MayHaveRunError:
             # Connections that went silent together are not tried one by one.
--- a/tests/functional/test_target_connections.py
+++ b/tests/functional/test_target_connections.py
@@ -1,4 +1,4 @@
-"""Requests on connections that a target has closed without notice."""
+"""Requests on connections that their server has closed without notice."""
 
 import contextlib
 import socket
@@ -7,6 +7,7 @@
 import pytest
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.network import http_client
 from lentildeal._internal.network import target_connections
 
 ANSWER = (
@@ -100,3 +101,25 @@
     with pytest.raises(exceptions.ConnectionClosedError):
         send(connections, target, is_repeatable=True)
     assert target.requests == 3
+
+
+def test_repeatable_call_goes_on_a_new_connection(target):
+    # Guards against reports of replicas and reads of the store that fail
+    # because an idle connection was closed.
+    client = http_client.HttpClient()
+    url = f'http://{target.address}/path'
+    for _ in range(3):
+        answer = client.request('GET', url, timeout_s=2.0, is_repeatable=True)
+        assert answer.body == b'ok'
+    assert target.connections == 3
+
+
+def test_call_that_may_not_be_repeated_fails_when_it_was_closed(target):
+    # Guards against an append that is made twice unasked.
+    client = http_client.HttpClient()
+    url = f'http://{target.address}/path'
+    client.request('GET', url, timeout_s=2.0)
+    target.is_resetting = True
+    with pytest.raises(exceptions.ConnectionClosedError):
+        client.request('POST', url, timeout_s=2.0, body=b'record')
+    assert target.requests == 2
