Set recording of items and order of open jobs apart from the runner

Results and checkpoints are enqueued by recording.ItemRecorder, the order of waiting items is open_jobs; behaviour is unchanged.

--- /dev/null
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -0,0 +1,76 @@
+"""Results and checkpoints of items, as they go into the work log."""
+
+from __future__ import annotations
+
+import prometheus_client
+
+from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import tasks
+from lentildeal._internal.jobs import work_log
+from lentildeal._internal.logs import events
+from lentildeal._internal.models import jobs
+from lentildeal._internal.utils import clock
+
+_items_total = prometheus_client.Counter(
+    'lentildeal_items_total', 'Items by how they ended.', ['state']
+)
+_item_seconds = prometheus_client.Histogram(
+    'lentildeal_item_seconds',
+    'Time from taking an item to its result, in seconds.',
+    buckets=(0.2, 0.5, 1, 2, 3, 4, 5, 6, 7.5, 10, 15, 30),
+)
+
+
+class ItemRecorder:
+    """Enqueues the records of items."""
+
+    def __init__(self, log: work_log.WorkLog) -> None:
+        self._log = log
+
+    def list_result(
+        self,
+        task: tasks.ItemTask,
+        state: jobs.ResultState,
+        progress: jobs.Progress,
+    ) -> None:
+        """Ends an item."""
+        task.is_done = True
+        record = records.ItemResult(
+            task.entry.head.job_id, task.index, state.value, progress.versions
+        )
+        self._log.enqueue(record, progress.events or None)
+        elapsed_s = clock.monotonic_s() - task.taken_s
+        _items_total.labels(state.value).inc()
+        _item_seconds.observe(elapsed_s)
+        events.emit(
+            'item_ended',
+            item=task.item.item_id,
+            job=task.entry.head.job_id,
+            state=state.value,
+            versions=progress.versions,
+            attempts=task.attempt_count,
+            elapsed_ms=int(elapsed_s * 1000),
+        )
+
+    def save(self, task: tasks.ItemTask, min_new_events: int) -> None:
+        """Saves the progress of an item.
+
+        Args:
+            task: The item.
+            min_new_events: Fewest events since the last checkpoint that are
+                worth another one.
+        """
+        progress = task.progress
+        if task.attempt is not None:
+            progress = task.attempt.progress
+        if len(progress.events) - task.saved_events < min_new_events:
+            return
+        task.saved_events = len(progress.events)
+        record = records.Checkpoint(
+            task.entry.head.job_id,
+            task.index,
+            progress.versions,
+            len(progress.events),
+            progress.last_event_id,
+        )
+        self._log.enqueue(record, progress.events)
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -11,10 +11,10 @@
 from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import duty_keeper
 from lentildeal._internal.jobs import loading
+from lentildeal._internal.jobs import open_jobs
 from lentildeal._internal.jobs import pace
-from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import recording
 from lentildeal._internal.jobs import scheduling
-from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
@@ -33,30 +33,9 @@
 CHECKPOINT_MIN_EVENTS = 15
 OPEN_RETRY_S = 0.2
 
-_items_total = prometheus_client.Counter(
-    'lentildeal_items_total', 'Items by how they ended.', ['state']
-)
 _attempts_total = prometheus_client.Counter(
     'lentildeal_item_attempts_total', 'Runs of items by ending.', ['ending']
 )
-_item_seconds = prometheus_client.Histogram(
-    'lentildeal_item_seconds',
-    'Time from taking an item to its result, in seconds.',
-    buckets=(0.2, 0.5, 1, 2, 3, 4, 5, 6, 7.5, 10, 15, 30),
-)
-
-
-class _OpenJob:
-    """A job that this daemon runs."""
-
-    def __init__(self, entry: table.JobEntry) -> None:
-        self.entry = entry
-        # None until the items have been read from the log.
-        self.tasks: typing.Optional[list[tasks.ItemTask]] = None
-
-    def iter_tasks(self) -> typing.Iterator[tasks.ItemTask]:
-        """Items without a result."""
-        return (task for task in self.tasks or () if not task.is_done)
 
 
 class JobRunner:
@@ -68,10 +47,11 @@
         self._log = kernel.plugin('work_log')
         self._duties = kernel.plugin('duties')
         self._connections = target_connections.TargetConnections()
-        self._jobs: dict[ids.JobId, _OpenJob] = {}
+        self._jobs: dict[ids.JobId, open_jobs.OpenJob] = {}
         self._paces = pace.PaceBook()
         self._use = tasks.ReplicaUse()
         self._wakeup = wakeup.Wakeup()
+        self._recorder = recording.ItemRecorder(self._log)
         self._checkpointed_s = 0.0
         self._is_leaving = False
 
@@ -110,7 +90,7 @@
             for task in job.iter_tasks():
                 if task.attempt is not None:
                     task.progress = self._stop_attempt(task)
-                self._save_task(task, 1)
+                self._recorder.save(task, 1)
         self._jobs.clear()
 
     # Opening and closing of jobs.
@@ -120,7 +100,7 @@
             if entry.head.job_id in self._jobs:
                 continue
             if self._holds(entry.head.model):
-                job = self._jobs[entry.head.job_id] = _OpenJob(entry)
+                job = self._jobs[entry.head.job_id] = open_jobs.OpenJob(entry)
                 self._kernel.spawn('job-load', self._load, job)
 
     def _close_finished(self) -> None:
@@ -135,7 +115,7 @@
                     task.progress = self._stop_attempt(task)
                 if not is_lost:
                     # The item's group may come again in a later job.
-                    self._save_task(task, 1)
+                    self._recorder.save(task, 1)
                 task.is_done = True
             if job.tasks is not None or is_lost:
                 del self._jobs[job_id]
@@ -143,7 +123,7 @@
     def _holds(self, model: ids.ModelName) -> bool:
         return self._duties.find_term(duty_keeper.jobs_duty(model)) is not None
 
-    def _load(self, job: _OpenJob) -> None:
+    def _load(self, job: open_jobs.OpenJob) -> None:
         """Reads the items of a job from the log."""
         while self._jobs.get(job.entry.head.job_id) is job:
             try:
@@ -173,7 +153,7 @@
             return
 
     def _reuse_texts(
-        self, job: _OpenJob, loaded: list[tasks.ItemTask]
+        self, job: open_jobs.OpenJob, loaded: list[tasks.ItemTask]
     ) -> None:
         """Lists items whose text an earlier job has already.
 
@@ -188,7 +168,7 @@
             if not task.is_valid(progress, self._is_single(task)):
                 continue
             (texts,) = self._log.read_texts([found[1].place])
-            self._list(
+            self._recorder.list_result(
                 task,
                 jobs.ResultState.DONE,
                 jobs.Progress(texts.events, versions=found[1].versions),
@@ -307,10 +287,12 @@
             if is_overdue:
                 if task.attempt is not None:
                     self._stop_attempt(task)
-                self._list(task, jobs.ResultState.GIVEN_UP, jobs.Progress())
+                self._recorder.list_result(
+                    task, jobs.ResultState.GIVEN_UP, jobs.Progress()
+                )
 
     def _assign_waiting(self) -> None:
-        for task in self._sort_waiting():
+        for task in open_jobs.sort_waiting(self._jobs.values()):
             if not self._holds(task.entry.head.model):
                 continue
             route = self._find_route(task)
@@ -323,27 +305,6 @@
             if chosen is not None and not chosen.is_avoided:
                 self._start_attempt(task, chosen)
 
-    def _sort_waiting(self) -> list[tasks.ItemTask]:
-        keyed = []
-        ranks: dict[ids.ModelName, int] = {}
-        for job in self._jobs.values():
-            rank = ranks.get(job.entry.head.model, 0)
-            ranks[job.entry.head.model] = rank + 1
-            left: dict[ids.GroupId, int] = {}
-            for task in job.iter_tasks():
-                group = task.item.group
-                left[group] = left.get(group, 0) + 1
-            for task in job.iter_tasks():
-                if task.is_waiting:
-                    key = scheduling.order_key(
-                        job_rank=rank,
-                        is_carried=task.is_carried,
-                        expected_events=task.expected_left,
-                        left_in_group=left[task.item.group],
-                    )
-                    keyed.append((key, len(keyed), task))
-        return [task for _, _, task in sorted(keyed, key=lambda k: k[:2])]
-
     # Runs.
 
     def _start_attempt(
@@ -431,7 +392,7 @@
     def _take_complete(self, task: tasks.ItemTask) -> None:
         progress = task.progress
         if task.is_valid(progress, self._is_single(task)):
-            self._list(task, jobs.ResultState.DONE, progress)
+            self._recorder.list_result(task, jobs.ResultState.DONE, progress)
         else:
             task.progress = jobs.Progress()
 
@@ -442,30 +403,9 @@
         route = self._find_route(task)
         most = route.max_attempts if route is not None else 1
         if ending is attempts.Ending.IMPOSSIBLE or task.failures >= most:
-            self._list(task, jobs.ResultState.GIVEN_UP, jobs.Progress())
-
-    def _list(
-        self,
-        task: tasks.ItemTask,
-        state: jobs.ResultState,
-        progress: jobs.Progress,
-    ) -> None:
-        task.is_done = True
-        record = records.ItemResult(
-            task.entry.head.job_id, task.index, state.value, progress.versions
-        )
-        self._log.enqueue(record, progress.events or None)
-        _items_total.labels(state.value).inc()
-        _item_seconds.observe(clock.monotonic_s() - task.taken_s)
-        events.emit(
-            'item_ended',
-            item=task.item.item_id,
-            job=task.entry.head.job_id,
-            state=state.value,
-            versions=progress.versions,
-            attempts=task.attempt_count,
-            elapsed_ms=_elapsed_ms(task.taken_s),
-        )
+            self._recorder.list_result(
+                task, jobs.ResultState.GIVEN_UP, jobs.Progress()
+            )
 
     # Checkpoints.
 
@@ -475,23 +415,7 @@
             return
         self._checkpointed_s = now_s
         for task in self._iter_tasks():
-            self._save_task(task, CHECKPOINT_MIN_EVENTS)
-
-    def _save_task(self, task: tasks.ItemTask, min_new_events: int) -> None:
-        progress = task.progress
-        if task.attempt is not None:
-            progress = task.attempt.progress
-        if len(progress.events) - task.saved_events < min_new_events:
-            return
-        task.saved_events = len(progress.events)
-        record = records.Checkpoint(
-            task.entry.head.job_id,
-            task.index,
-            progress.versions,
-            len(progress.events),
-            progress.last_event_id,
-        )
-        self._log.enqueue(record, progress.events)
+            self._recorder.save(task, CHECKPOINT_MIN_EVENTS)
 
 
 def _elapsed_ms(since_s: float) -> int:
