Claim the models of a service in one append; renew with other records

Three daemons ran the jobs of one model each, because each duty was claimed by an append of its own and others won the next one meanwhile. Ruled out: a stream of its own for duties; every daemon would follow one more. Change: one append claims all duties of a group. Submissions are repeated with exponential delays.

--- a/src/lentildeal/_internal/jobs/duty_keeper.py
+++ b/src/lentildeal/_internal/jobs/duty_keeper.py
@@ -32,8 +32,13 @@
 # the jobs of 22 replicas takes up to a third of a core.
 WANTED_CORES = 1.0
 SMALL_DELAY_S = 0.6
-# A renewal on a connection that went silent has to be repeated in time.
+# A renewal on a connection that went silent has to be repeated in time. Each
+# one that gets no answer doubles the time, so that renewals do not fill the
+# queue of a slow store.
 RENEWAL_TIMEOUT_S = 0.6
+LONGEST_RENEWAL_TIMEOUT_S = 1.2
+# Renewals that go with other records cost no append of their own.
+JOINT_RENEWAL_INTERVAL_S = 0.25
 
 _held = prometheus_client.Gauge(
     'lentildeal_duties_held', 'Duties that this daemon holds.'
@@ -72,10 +77,12 @@
         self._vacant_since_s: dict[ids.DutyName, float] = {}
         self._resigned: set[ids.Term] = set()
         self._renewed_s = 0.0
+        self._renewal_timeout_s = RENEWAL_TIMEOUT_S
         self._is_leaving = False
 
     def start(self) -> None:
         """See the base class."""
+        self._log.add_companion(self)
         self._kernel.spawn('duties', self._run)
 
     def find_term(self, duty: ids.DutyName) -> typing.Optional[ids.Term]:
@@ -121,6 +128,26 @@
         self._log.enqueue(records.Resignation(duty, lease.term))
         self.changed.set()
 
+    def make_companion(self) -> typing.Optional[records.Renewal]:
+        """See ``work_log.Companion``."""
+        age_s = clock.boottime_s() - self._renewed_s
+        if not self._leases or age_s < JOINT_RENEWAL_INTERVAL_S:
+            return None
+        return self._make_renewal()
+
+    def note_appended(self, renewal: records.Renewal, sent_s: float) -> None:
+        """See ``work_log.Companion``."""
+        self._renewed_s = sent_s
+        for duty, term in renewal.duties:
+            lease = self._leases.get(duty)
+            if lease is not None and lease.term == term:
+                lease.until_s = max(lease.until_s, sent_s + LEASE_S)
+
+    def _make_renewal(self) -> records.Renewal:
+        return records.Renewal(
+            tuple((d, lease.term) for d, lease in self._leases.items())
+        )
+
     def _is_mine(self, duty: ids.DutyName) -> bool:
         state = self._log.duties.get(duty)
         return (
@@ -166,19 +193,20 @@
         now_s = clock.boottime_s()
         if not self._leases or now_s - self._renewed_s < RENEWAL_INTERVAL_S:
             return
-        pairs = tuple((d, lease.term) for d, lease in self._leases.items())
+        renewal = self._make_renewal()
         try:
-            self._log.append([records.Renewal(pairs)], RENEWAL_TIMEOUT_S)
+            self._log.append([renewal], self._renewal_timeout_s)
         except exceptions.PlatformError:
             # Tried again at the next check; the lease ends if it fails on.
+            self._renewal_timeout_s = min(
+                LONGEST_RENEWAL_TIMEOUT_S, 2 * self._renewal_timeout_s
+            )
             return
-        self._renewed_s = now_s
-        for duty, term in pairs:
-            lease = self._leases.get(duty)
-            if lease is not None and lease.term == term:
-                lease.until_s = now_s + LEASE_S
+        self._renewal_timeout_s = RENEWAL_TIMEOUT_S
+        self.note_appended(renewal, now_s)
 
     def _claim_vacant(self) -> None:
+        due: dict[str, list[ids.DutyName]] = {}
         for duty, group in self._wanted():
             if duty in self._leases or not self._is_vacant(duty):
                 self._vacant_since_s.pop(duty, None)
@@ -187,7 +215,9 @@
             now_s = clock.boottime_s()
             since_s = self._vacant_since_s.setdefault(duty, now_s)
             if now_s - since_s >= self._claim_delay_s(duty, group):
-                self._claim(duty, group)
+                due.setdefault(group, []).append(duty)
+        for group, names in due.items():
+            self._claim(group, names)
 
     def _adopt(self, duty: ids.DutyName, group: str) -> None:
         """Keeps a duty whose claim took effect without an answer.
@@ -231,28 +261,45 @@
         lease_s = self._kernel.settings.store.lease_ms / 1000
         return max(0.0, lease_s - TIMEOUT_S)
 
-    def _claim(self, duty: ids.DutyName, group: str) -> None:
-        previous = self._log.duties.get(duty).holder
-        claim = self._log.duties.make_claim(
-            duty, self._instance, self._kernel.incarnation
-        )
+    def _claim(self, group: str, names: list[ids.DutyName]) -> None:
+        """Claims duties of a group in one append.
+
+        With an append for each, two daemons that start together would each
+        win a part of them.
+        """
+        previous = {d: self._log.duties.get(d).holder for d in names}
+        claims = [
+            self._log.duties.make_claim(
+                duty, self._instance, self._kernel.incarnation
+            )
+            for duty in names
+        ]
         sent_s = clock.boottime_s()
         try:
-            self._log.append([claim])
+            self._log.append(claims)
             self._log.sync()
         except exceptions.PlatformError:
-            # If the claim took effect after all, its term is found by the
-            # next check or runs out.
+            # If the claims took effect after all, their terms are found by
+            # the next check or run out.
             return
-        state = self._log.duties.get(duty)
-        if self._is_mine(duty):
-            wait_s = 0.0
-            if previous not in (None, self._instance):
-                wait_s = self._orders_wait_s()
-            self._leases[duty] = _Lease(
-                group, state.term, sent_s + LEASE_S, sent_s + wait_s
-            )
-            events.emit(
-                'duty_claimed', duty=duty, term=state.term, previous=previous
-            )
-            self.changed.set()
+        for duty in names:
+            if self._is_mine(duty):
+                self._take(duty, group, previous[duty], sent_s)
+
+    def _take(
+        self,
+        duty: ids.DutyName,
+        group: str,
+        previous: typing.Optional[ids.InstanceId],
+        sent_s: float,
+    ) -> None:
+        """Holds a duty whose claim has taken effect."""
+        wait_s = 0.0
+        if previous not in (None, self._instance):
+            wait_s = self._orders_wait_s()
+        term = self._log.duties.get(duty).term
+        self._leases[duty] = _Lease(
+            group, term, sent_s + LEASE_S, sent_s + wait_s
+        )
+        events.emit('duty_claimed', duty=duty, term=term, previous=previous)
+        self.changed.set()
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -17,6 +17,7 @@
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
+from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
 # Most text in one answer, in bytes; callers read on from the next position.
@@ -40,6 +41,8 @@
 OUTCOME_S = 2.5
 END_S = 3.0
 RETRY_S = 0.1
+# A store that refuses appends has 2 s of them waiting.
+LONGEST_RETRY_S = 0.5
 
 _jobs_total = prometheus_client.Counter(
     'lentildeal_jobs_total', 'Submissions by outcome.', ['outcome']
@@ -185,6 +188,7 @@
         limit = self._kernel.settings.store.record_bytes
         parts = records.split_items(job.items, limit)
         deadline = clock.Deadline(SUBMIT_S)
+        delays = backoff.Backoff(RETRY_S, LONGEST_RETRY_S)
         accepted: typing.Optional[records.JobAccepted] = None
         while True:
             timeout_s = max(APPEND_MIN_S, deadline.remaining_s)
@@ -203,7 +207,7 @@
                 failure = error
             if deadline.has_passed:
                 raise self._make_refusal(failure.message) from failure
-            eventlet.sleep(RETRY_S)
+            eventlet.sleep(delays.next_delay_s())
 
     def _make_refusal(self, reason: str) -> exceptions.NotRunError:
         silence_s = self._log.silence_s
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -57,6 +57,16 @@
     events: typing.Optional[tuple[str, ...]]
 
 
+class Companion(typing.Protocol):
+    """What adds a record to batches that are appended anyway."""
+
+    def make_companion(self) -> typing.Optional[records.Record]:
+        """Returns a record to append now, None without one."""
+
+    def note_appended(self, record: records.Record, sent_s: float) -> None:
+        """The record was appended; ``sent_s`` is a time before that."""
+
+
 @plugins.register('work_log', after=('directory',))
 class WorkLog(plugins.Plugin):
     """Reads the work log into tables, and appends to it."""
@@ -77,6 +87,7 @@
         self._queue: collections.deque[_Queued] = collections.deque()
         self._queued = wakeup.Wakeup()
         self._cache = texts_module.TextCache()
+        self._companions: list[Companion] = []
 
     @property
     def is_caught_up(self) -> bool:
@@ -188,6 +199,10 @@
         self._queue.append(_Queued(record, events_of_text))
         self._queued.set()
 
+    def add_companion(self, companion: Companion) -> None:
+        """Lets a record go with each batch of queued records."""
+        self._companions.append(companion)
+
     def sync(self) -> None:
         """Reads all that was in the log when this was called.
 
@@ -346,7 +361,7 @@
                 eventlet.sleep(LINGER_S)
             batch = self._take_batch()
             try:
-                self.append(self._store_texts(batch))
+                self._append_batch(self._store_texts(batch))
             except exceptions.PlatformError as error:
                 events.emit(
                     'append_retried',
@@ -358,6 +373,14 @@
                 continue
             delays.reset()
 
+    def _append_batch(self, batch: list[records.Record]) -> None:
+        sent_s = clock.boottime_s()
+        extra = [(c, c.make_companion()) for c in self._companions]
+        extra = [(c, record) for c, record in extra if record is not None]
+        self.append([*batch, *(record for _, record in extra)])
+        for companion, record in extra:
+            companion.note_appended(record, sent_s)
+
     def _take_batch(self) -> list[_Queued]:
         batch: list[_Queued] = []
         size_bytes = 0
--- a/tests/unit/jobs/test_duty_keeper.py
+++ b/tests/unit/jobs/test_duty_keeper.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import duties
 from lentildeal._internal.jobs import duty_keeper
 from lentildeal._internal.models import deployment
@@ -22,8 +23,15 @@
         self.is_caught_up = True
         self.heard_since_s = 0.0
         self.offset = 0
+        self.append_s = 0.0
+        self.appends = 0
+
+    def add_companion(self, companion):
+        self.companion = companion
 
     def append(self, batch, timeout_s=None):
+        eventlet.sleep(self.append_s)
+        self.appends += 1
         for record in batch:
             self.duties.apply(record, self.offset, clock.boottime_s())
             self.offset += 1
@@ -90,6 +98,51 @@
     assert orders.holder is not None
 
 
+def test_models_of_a_service_are_claimed_together(log):
+    # Guards against daemons that start together and win a model each, while
+    # the claims of the first are on their way.
+    log.append_s = 0.05
+    run([make_keeper(log, f'n{n}') for n in range(15)], 1.5)
+    assert len(set(holders(log).values())) == 1
+
+
+def test_renewal_that_goes_with_other_records_saves_an_append(log):
+    # Pattern: a slow store takes four appends a second; the results of a
+    # holder and its renewals wait for each other.
+    keeper = make_keeper(log, 'n0')
+    run([keeper], 0.5)
+    log.appends = 0
+    for _ in range(10):
+        eventlet.sleep(0.1)
+        renewal = keeper.make_companion()
+        if renewal is not None:
+            log.append([renewal])
+            keeper.note_appended(renewal, clock.boottime_s())
+    # One every 0.25 s, checked every 0.1 s, and none of the keeper's own.
+    assert 3 <= log.appends <= 4
+    assert keeper.find_term(duty_keeper.jobs_duty('m0')) is not None
+
+
+def test_renewals_without_an_answer_get_rarer(log):
+    # Guards against renewals that fill the queue of a slow store.
+    keeper = make_keeper(log, 'n0')
+    run([keeper], 0.5)
+    timeouts = []
+
+    def append(batch, timeout_s=None):
+        timeouts.append(timeout_s)
+        eventlet.sleep(timeout_s)
+        raise exceptions.LogAnswerLostError('no answer in time')
+
+    log.append = append
+    eventlet.sleep(2.5)
+    assert timeouts[:2] == [
+        duty_keeper.RENEWAL_TIMEOUT_S,
+        2 * duty_keeper.RENEWAL_TIMEOUT_S,
+    ]
+    assert len(timeouts) <= 3
+
+
 def test_small_instance_leaves_duties_to_larger_ones(log):
     # Guards against a scheduler on a third of a core.
     run([make_keeper(log, 'small', 0.36), make_keeper(log, 'large')], 1.5)
