--- a/tests/unit/jobs/test_duty_keeper.py
+++ b/tests/unit/jobs/test_duty_keeper.py
@@ -1,5 +1,6 @@
 """Claims of duties by several daemons on one log."""
 
+import random
 import types
 
 import eventlet
@@ -23,14 +24,14 @@
         self.is_caught_up = True
         self.heard_since_s = 0.0
         self.offset = 0
-        self.append_s = 0.0
+        self.make_delay_s = lambda: 0.0
         self.appends = 0
 
     def add_companion(self, companion):
         self.companion = companion
 
     def append(self, batch, timeout_s=None):
-        eventlet.sleep(self.append_s)
+        eventlet.sleep(self.make_delay_s())
         self.appends += 1
         for record in batch:
             self.duties.apply(record, self.offset, clock.boottime_s())
@@ -98,10 +99,13 @@
     assert orders.holder is not None
 
 
-def test_models_of_a_service_are_claimed_together(log):
+@pytest.mark.parametrize('seed', range(3))
+def test_models_of_a_service_are_claimed_together(log, seed):
     # Guards against daemons that start together and win a model each, while
     # the claims of the first are on their way.
-    log.append_s = 0.05
+    # The delays interleave the appends of several daemons.
+    chance = random.Random(seed)
+    log.make_delay_s = lambda: chance.uniform(0.0, 0.2)
     run([make_keeper(log, f'n{n}') for n in range(15)], 1.5)
     assert len(set(holders(log).values())) == 1
 
