Space the reads of the store by its refusals

Cause: every append wakes every daemon, so that reads grow with the number of daemons times that of appends; at 350 daemons three streams would be read about 8,700 times a second each, where today's stores take 2,000 to 6,000. Ruled out: a spacing from the number of daemons; no daemon knows it.

--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -10,6 +10,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import backoff
+from lentildeal._internal.utils import spacing
 
 # Changes have to be in force within two seconds; a read that waits returns
 # at once with a change, and a silent connection is noticed after this time
@@ -17,6 +18,8 @@
 WAIT_S = 0.8
 # Least time between two reads, so that a burst of changes is read at once.
 SPACING_S = 0.05
+# Changes have to be in force within two seconds.
+LONGEST_SPACING_S = 0.5
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.5
 
@@ -53,6 +56,7 @@
     def run(self) -> None:
         """Follows the stream for ever."""
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        reads = spacing.ReadSpacing(SPACING_S, LONGEST_SPACING_S)
         while True:
             try:
                 self._step()
@@ -62,12 +66,15 @@
                 self._next = None
                 continue
             except exceptions.PlatformError as error:
+                if isinstance(error, exceptions.LogOverloadedError):
+                    reads.note_refusal()
                 self._sink.note_failure(self._stream, error.message)
-                eventlet.sleep(delays.next_delay_s())
+                eventlet.sleep(max(reads.next_s(), delays.next_delay_s()))
                 continue
             delays.reset()
+            reads.note_answer()
             self._sink.note_answer(self._stream)
-            eventlet.sleep(SPACING_S)
+            eventlet.sleep(reads.next_s())
 
     def _step(self) -> None:
         if self._next is None:
--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -54,6 +54,10 @@
     """The log service refused a call, which therefore had no effect."""
 
 
+class LogOverloadedError(LogUnavailableError):
+    """The log refused a call because there were too many."""
+
+
 class LogAnswerLostError(PlatformError):
     """An append may or may not have taken effect."""
 
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -21,6 +21,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import spacing
 from lentildeal._internal.utils import wakeup
 
 # A read that waits returns at once with a record. A silent connection is
@@ -29,6 +30,8 @@
 # Least time between two reads. Results have to be known to all daemons
 # within a second; a read of many records costs less than many reads.
 SPACING_S = 0.04
+# Results have to be known to all daemons within a second.
+LONGEST_SPACING_S = 0.3
 # Without an answer for this long the log counts as not heard: the longest
 # wait, a slow phase of the platform (60 x 4 ms) and the spacing fit in.
 GAP_S = 1.4
@@ -287,6 +290,7 @@
 
     def _follow(self) -> None:
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
+        reads = spacing.ReadSpacing(SPACING_S, LONGEST_SPACING_S)
         started_s = clock.monotonic_s()
         while True:
             try:
@@ -301,10 +305,13 @@
                 self._next = ids.Offset(max(error.oldest, self._next + 1))
                 continue
             except exceptions.PlatformError as error:
+                if isinstance(error, exceptions.LogOverloadedError):
+                    reads.note_refusal()
                 self._note_unheard(error.message)
-                eventlet.sleep(delays.next_delay_s())
+                eventlet.sleep(max(reads.next_s(), delays.next_delay_s()))
                 continue
             delays.reset()
+            reads.note_answer()
             self._note_heard()
             self._apply_page(page)
             if not self._is_caught_up and self._next >= page.end:
@@ -314,7 +321,7 @@
                     offset=self._next,
                     elapsed_ms=_elapsed_ms(started_s),
                 )
-            eventlet.sleep(SPACING_S if self._is_caught_up else 0)
+            eventlet.sleep(reads.next_s() if self._is_caught_up else 0)
 
     @property
     def _may_wait(self) -> bool:
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -25,6 +25,7 @@
 READ_TIMEOUT_S = 1.5
 # Only partition 0 of a stream is used.
 PARTITION = 0
+TOO_MANY_CALLS = 429
 # Statuses by which the store says that an append had no effect.
 NOTHING_DONE = frozenset((400, 403, 404, 409, 412, 413, 429, 503, 507))
 LENGTH = struct.Struct('>I')
@@ -181,10 +182,12 @@
             raise
 
     def _check(self, answer: http_client.HttpAnswer, stream: str) -> None:
-        if answer.status != 200:
-            raise exceptions.LogUnavailableError(
-                f'the store refused a read of {stream}: {answer.status}'
-            )
+        if answer.status == 200:
+            return
+        kind = exceptions.LogUnavailableError
+        if answer.status == TOO_MANY_CALLS:
+            kind = exceptions.LogOverloadedError
+        raise kind(f'the store refused a read of {stream}: {answer.status}')
 
 
 def _decode_page(body: bytes, start: ids.Offset) -> platform_base.RawPage:
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -60,6 +60,15 @@
     assert made._client.calls[0][2] == b'\0\0\0\2ab\0\0\0\1c'
 
 
+def test_read_beyond_the_limit_is_told_apart():
+    # Guards against an overloaded store that is read as often as before.
+    with pytest.raises(exceptions.LogOverloadedError):
+        make_store(answer(429)).read('s', 5)
+    with pytest.raises(exceptions.LogUnavailableError) as refusal:
+        make_store(answer(503)).read('s', 5)
+    assert not isinstance(refusal.value, exceptions.LogOverloadedError)
+
+
 @pytest.mark.parametrize('status', [400, 403, 429, 503, 507])
 def test_refused_append_had_no_effect(status):
     with pytest.raises(exceptions.LogUnavailableError):
--- /dev/null
+++ b/tests/unit/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of small helpers."""
