Listen on addresses that no other process may share

The clients' random choices replayed: 7 of the 13 calls that went to daemon n0 left no line in any log, and none of the 36 calls to the others. A daemon of another run listened on the same port, which SO_REUSEPORT, set by eventlet by default, allows; the kernel dealt the connections to both. The test library chose a port as free until its daemon listened, seconds later on a busy machine. Ruled out: a stale read of the work log; all 19 jobs were in the logs of this run and its work log had no gap. Change: daemons and stand-ins listen without SO_REUSEPORT; a daemon whose address is in use ends with status 2, the address and a remedy. Free ports are claimed until the choosing process ends.

--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -36,9 +36,7 @@
     try:
         loaded = settings.load(arguments.settings)
     except exceptions.SettingsError as error:
-        print(f'lentildeald: {error.message}', file=sys.stderr)
-        print(f'remedy: {error.remedy}', file=sys.stderr)
-        return EXIT_SETTINGS
+        return _refuse(error)
     _configure_log(loaded)
     daemon = kernel.Kernel(loaded)
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -46,10 +44,19 @@
     # Its default action ends the process.
     signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
     daemon.watch_settings(arguments.settings)
-    daemon.run()
+    try:
+        daemon.run()
+    except exceptions.SettingsError as error:
+        return _refuse(error)
     return EXIT_OK
 
 
+def _refuse(error: exceptions.SettingsError) -> int:
+    print(f'lentildeald: {error.message}', file=sys.stderr)
+    print(f'remedy: {error.remedy}', file=sys.stderr)
+    return EXIT_SETTINGS
+
+
 def _configure_log(loaded: settings.Settings) -> None:
     logger.remove()
     logger.configure(extra={'instance': loaded.instance})
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -15,12 +15,15 @@
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import outcomes
+from lentildeal._internal.network import listening
 from lentildeal._internal.network import problems
 from lentildeal._internal.settings import settings as settings_module
 
 JSON_TYPE = 'application/json'
 # Idle keep-alive connections are closed after this time, in seconds.
 KEEPALIVE_S = 75
+# Connections that wait for the daemon to accept them.
+LISTEN_BACKLOG = 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -191,8 +194,7 @@
 
     def start(self) -> None:
         """Listens and serves in a green thread."""
-        address = settings_module.split_address(self._address)
-        self._socket = eventlet.listen(address, backlog=1024)
+        self._socket = listening.listen(self._address, LISTEN_BACKLOG)
         eventlet.spawn_n(
             eventlet.wsgi.server,
             self._socket,
--- a/src/lentildeal/_internal/network/peers.py
+++ b/src/lentildeal/_internal/network/peers.py
@@ -12,6 +12,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import connections as connections_module
+from lentildeal._internal.network import listening
 from lentildeal._internal.network import wire
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
@@ -19,6 +20,8 @@
 CONNECT_TIMEOUT_S = 1.0
 HELLO_TIMEOUT_S = 2.0
 ACCEPT_RETRY_S = 0.1
+# Connections that wait for the daemon to accept them.
+LISTEN_BACKLOG = 50
 
 CallHandler = typing.Callable[[ids.InstanceId, typing.Any], typing.Any]
 
@@ -32,9 +35,7 @@
         incarnation: ids.Incarnation,
     ) -> None:
         self._hello = connections_module.Hello(settings.instance, incarnation)
-        self._address = settings_module.split_address(
-            settings.peer_bind_address or settings.peer_address
-        )
+        self._address = settings.peer_bind_address or settings.peer_address
         self._addresses: dict[ids.InstanceId, tuple[str, int]] = {}
         self._connections: dict[
             ids.InstanceId, list[connections_module.Connection]
@@ -83,7 +84,7 @@
 
     def start(self) -> None:
         """Listens for other daemons."""
-        self._listener = eventlet.listen(self._address)
+        self._listener = listening.listen(self._address, LISTEN_BACKLOG)
         eventlet.spawn_n(self._accept_connections)
 
     def stop(self) -> None:
--- a/standins/common.py
+++ b/standins/common.py
@@ -216,7 +216,9 @@
     cls.add_arguments(parser)
     arguments = parser.parse_args()
     stand_in = cls(arguments)
-    listener = eventlet.listen(('127.0.0.1', arguments.port), backlog=1024)
+    listener = eventlet.listen(
+        ('127.0.0.1', arguments.port), backlog=1024, reuse_port=False
+    )
     eventlet.spawn_after(arguments.lifetime_s, os._exit, 1)
     stand_in.start()
     print(listener.getsockname()[1], flush=True)
--- a/tests/functional/test_settings_file.py
+++ b/tests/functional/test_settings_file.py
@@ -1,6 +1,7 @@
 """Settings files as the daemon program takes them."""
 
 import json
+import socket
 import subprocess
 import sys
 
@@ -52,3 +53,34 @@
     assert result.returncode == 2
     assert 'none.jsonc' in result.stderr
     assert 'Traceback' not in result.stderr
+
+
+@pytest.mark.parametrize('name', ['http_address', 'peer_address'])
+def test_address_in_use_ends_the_daemon(name, tmp_path):
+    """A daemon that shares an address takes the callers of another one.
+
+    In a soak (seed 3007) a daemon of another run listened on the port of one
+    of its daemons; half of the connections went there and got 404.
+    """
+    with socket.socket() as other:
+        # What eventlet sets by default lets two processes share a port.
+        other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        other.bind(('127.0.0.1', 0))
+        other.listen()
+        address = f'127.0.0.1:{other.getsockname()[1]}'
+        free = f'127.0.0.1:{processes.find_free_port()}'
+        path = tmp_path / 'settings.jsonc'
+        path.write_text(
+            json.dumps(
+                {
+                    **VALID,
+                    'http_address': free,
+                    'peer_address': f'127.0.0.1:{processes.find_free_port()}',
+                    name: address,
+                }
+            )
+        )
+        result = start(path)
+    assert result.returncode == 2
+    assert address in result.stderr
+    assert 'remedy: ' in result.stderr
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -29,6 +29,8 @@
 # outgoing connection takes a port between its choice and its use.
 FIRST_PORT = 12_000
 PORTS = 16_000
+# Bound for as long as this process runs, see find_free_port().
+_claims: list[socket.socket] = []
 
 
 def wait_for(
@@ -52,16 +54,25 @@
 
 
 def find_free_port() -> int:
-    """Finds a loopback port that nobody listens on."""
+    """Finds a loopback port that nobody listens on.
+
+    The UDP port of the same number is bound until this process ends, so that
+    tests and soaks that run beside each other choose different ports, also
+    before their daemons listen.
+    """
     start = (os.getpid() * 61 + time.monotonic_ns()) % PORTS
     for offset in range(PORTS):
         port = FIRST_PORT + (start + offset) % PORTS
-        with socket.socket() as probe:
-            try:
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind(('127.0.0.1', port))
+            with socket.socket() as probe:
                 probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-            return port
+        except OSError:
+            claim.close()
+            continue
+        _claims.append(claim)
+        return port
     raise OSError('no free port')
 
 
