--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -141,8 +141,13 @@
         self._note(replica_id, True)
 
     def record_event(self, replica_id: ids.ReplicaId) -> None:
-        """A run has made an event, so the replica is reached and works."""
-        self._avoidances.pop(replica_id, None)
+        """A run has made an event, which ends a trial.
+
+        It says nothing about a refusal: a replica that loads weights goes on
+        with its runs and takes no others.
+        """
+        if self.is_on_trial(replica_id):
+            del self._avoidances[replica_id]
 
     def record_error(self, replica_id: ids.ReplicaId) -> None:
         """A run was answered with an error.
--- a/tests/unit/jobs/test_scheduling.py
+++ b/tests/unit/jobs/test_scheduling.py
@@ -141,6 +141,19 @@
     assert use.count_free('cut', 8) == 7
 
 
+def test_events_of_other_runs_end_no_refusal():
+    # Pattern: a replica loads weights for a second; its runs go on and every
+    # waiting item is refused.
+    now = [0.0]
+    use = tasks.ReplicaUse(lambda: now[0])
+    use.record_refusal('loading')
+    use.record_event('loading')
+    assert use.is_avoided('loading')
+    now[0] += tasks.REFUSAL_AVOIDANCE_S
+    use.record_event('loading')
+    assert not use.is_on_trial('loading')
+
+
 def test_replica_on_trial_is_used_when_all_others_are_full():
     # Guards against a straggler that is sent to a replica that failed, and
     # against a replica that stays unused although slots are needed.
