--- a/src/lentildeal/_internal/models/text.py
+++ b/src/lentildeal/_internal/models/text.py
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class Target:
-    """A back end with its replicas."""
+    """A target with its replicas."""
 
     kind: TargetKind = options.option('Form: "engine" or "service".')
     replicas: dict[ids.FailureDomain, list[ids.ReplicaAddress]] = (
--- a/tests/functional/test_connections.py
+++ b/tests/functional/test_connections.py
@@ -1,8 +1,6 @@
 """Connections of the daemon's HTTP client to plain services."""
 
 import contextlib
-import socket
-import threading
 
 from lentildeal._internal.callers import attempts
 from lentildeal._internal.callers import calls
@@ -12,43 +10,18 @@
 from lentildeal._internal.routing import grants
 from lentildeal._internal.routing import health
 from lentildeal._internal.utils import clock
+from tests.lib import keep_alive_server
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
-class KeepAliveServer:
-    """Answers and keeps connections open, whatever the caller asks for.
+class Service(keep_alive_server.KeepAliveServer):
+    """Keeps connections open, whatever the caller asks for."""
 
-    Attributes:
-        connections: Connections so far.
-    """
-
-    def __init__(self):
-        self.connections = 0
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    @property
-    def address(self):
-        return f'127.0.0.1:{self._listener.getsockname()[1]}'
-
-    def close(self):
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                self.connections += 1
-                threading.Thread(
-                    target=self._answer, args=(connection,), daemon=True
-                ).start()
-
-    def _answer(self, connection):
-        with contextlib.suppress(OSError):
-            while data := connection.recv(65536):
-                if data.endswith(b'\r\n\r\n'):
-                    connection.sendall(ANSWER)
+    def answer(self, connection):
+        while data := connection.recv(65536):
+            if data.endswith(b'\r\n\r\n'):
+                connection.sendall(ANSWER)
 
 
 def call_times(address, is_idempotent, count):
@@ -78,7 +51,7 @@
 
     Nobody could tell whether it ran, so it would be ``may_have_run``.
     """
-    with contextlib.closing(KeepAliveServer()) as server:
+    with contextlib.closing(Service()) as server:
         assert call_times(server.address, False, 5) == [b'ok'] * 5
         assert server.connections == 5
         assert call_times(server.address, True, 5) == [b'ok'] * 5
--- a/tests/functional/test_target_connections.py
+++ b/tests/functional/test_target_connections.py
@@ -1,54 +1,34 @@
 """Requests on connections that their server has closed without notice."""
 
 import contextlib
-import socket
-import threading
 
 import pytest
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.network import http_client
 from lentildeal._internal.network import target_connections
+from tests.lib import keep_alive_server
 
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
 )
 
 
-class ForgetfulTarget:
-    """Answers one request a connection, then resets what comes next.
+class ForgetfulTarget(keep_alive_server.KeepAliveServer):
+    """Answers one request a connection, then closes it at the next one.
 
     Attributes:
-        connections: Connections so far.
         requests: Requests read so far, answered or not.
         is_resetting: Whether no request is answered any more.
     """
 
     def __init__(self):
-        self.connections = 0
         self.requests = 0
         self.is_resetting = False
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    @property
-    def address(self):
-        return f'127.0.0.1:{self._listener.getsockname()[1]}'
-
-    def close(self):
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                self.connections += 1
-                threading.Thread(
-                    target=self._answer, args=(connection,), daemon=True
-                ).start()
-
-    def _answer(self, connection):
-        with contextlib.suppress(OSError), contextlib.closing(connection):
+        super().__init__()
+
+    def answer(self, connection):
+        with contextlib.closing(connection):
             if connection.recv(65536):
                 self.requests += 1
                 if self.is_resetting:
--- /dev/null
+++ b/tests/lib/keep_alive_server.py
@@ -0,0 +1,46 @@
+"""A server in threads that answers requests without a body."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+
+
+class KeepAliveServer:
+    """Accepts connections and lets ``answer`` serve each in a thread.
+
+    Attributes:
+        connections: Connections so far.
+    """
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Address "ip:port"."""
+        return f'127.0.0.1:{self._listener.getsockname()[1]}'
+
+    def close(self) -> None:
+        """Accepts no more connections."""
+        self._listener.close()
+
+    def answer(self, connection: socket.socket) -> None:
+        """Serves one connection."""
+        raise NotImplementedError
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self._listener.accept()
+                self.connections += 1
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            self.answer(connection)
--- /dev/null
+++ b/tests/lib/store_kernel.py
@@ -0,0 +1,74 @@
+"""A kernel whose directory is on a fake store."""
+
+from __future__ import annotations
+
+import types
+
+import eventlet
+
+from lentildeal._internal.directory import replicas
+from lentildeal._internal.jobs import work_log
+from lentildeal._internal.kernel import kernel as kernel_module
+from tests.lib import job_builders
+
+WAIT_S = 10.0
+
+
+class StoreKernel:
+    """Holds the plug-ins that the work log and the jobs need.
+
+    Attributes:
+        store: The fake store.
+        plugins: Plug-ins by name; tests add the ones under test.
+    """
+
+    def __init__(self, store, status_s=1e9) -> None:
+        self.store = store
+        self.incarnation = 1
+        self.state = kernel_module.KernelState.SERVING
+        self.settings = types.SimpleNamespace(
+            instance='a',
+            store=types.SimpleNamespace(
+                call_bytes=2_000_000, record_bytes=262_144, status_s=status_s
+            ),
+        )
+        self.plugins = {
+            'directory': types.SimpleNamespace(
+                platform=types.SimpleNamespace(store=store),
+                replicas=replicas.ReplicaTable(),
+                text=job_builders.make_published_text(),
+                is_loaded=True,
+            ),
+            # All duties are held by this daemon.
+            'duties': types.SimpleNamespace(
+                find_term=lambda duty: 1, is_taken_over=lambda duty: False
+            ),
+        }
+        self._threads: list = []
+
+    def plugin(self, name):
+        """See ``kernel.Kernel``."""
+        return self.plugins[name]
+
+    def spawn(self, _name, function, *arguments):
+        """See ``kernel.Kernel``."""
+        self._threads.append(eventlet.spawn(function, *arguments))
+
+    def add_work_log(self, is_started=True) -> work_log.WorkLog:
+        """Adds a work log, and starts it."""
+        log = self.plugins['work_log'] = work_log.WorkLog(self)
+        if is_started:
+            log.start()
+        return log
+
+    def close(self) -> None:
+        """Ends all threads."""
+        for thread in self._threads:
+            thread.kill()
+
+
+def wait_for(condition) -> None:
+    """Waits until a condition holds."""
+    with eventlet.Timeout(WAIT_S):
+        while not condition():
+            eventlet.sleep(0.005)
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -1,50 +1,20 @@
 """Opening of jobs while the store fails, and moves of running items."""
 
-import types
+import contextlib
 
 import eventlet
 from eventlet import event
 import pytest
 
-from lentildeal._internal.directory import replicas
 from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
-from lentildeal._internal.jobs import work_log
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import clock
 from tests.lib import fake_store
 from tests.lib import job_builders
-
-
-class Kernel:
-    """Kernel whose duties are all held by this daemon."""
-
-    def __init__(self, store):
-        self.settings = types.SimpleNamespace(
-            instance='a',
-            store=types.SimpleNamespace(
-                call_bytes=2_000_000, record_bytes=262_144, status_s=1e9
-            ),
-        )
-        self.plugins = {
-            'directory': types.SimpleNamespace(
-                platform=types.SimpleNamespace(store=store),
-                replicas=replicas.ReplicaTable(),
-                text=job_builders.make_published_text(),
-            ),
-            'duties': types.SimpleNamespace(
-                find_term=lambda duty: 1, is_taken_over=lambda duty: False
-            ),
-        }
-        self.threads = []
-
-    def plugin(self, name):
-        return self.plugins[name]
-
-    def spawn(self, name, function, *arguments):
-        self.threads.append(eventlet.spawn(function, *arguments))
+from tests.lib import store_kernel
 
 
 class Replicas:
@@ -106,13 +76,10 @@
     monkeypatch.setattr(
         runner_module.clock, 'unix_s', lambda: job_builders.NOW_S
     )
-    kernel = Kernel(store)
-    kernel.plugins['work_log'] = work_log.WorkLog(kernel)
-    kernel.plugins['work_log'].start()
-    kernel.spawn('runner', runner_module.JobRunner(kernel).run)
-    yield kernel
-    for thread in kernel.threads:
-        thread.kill()
+    with contextlib.closing(store_kernel.StoreKernel(store)) as found:
+        found.add_work_log()
+        found.spawn('runner', runner_module.JobRunner(found).run)
+        yield found
 
 
 @pytest.fixture
@@ -140,12 +107,6 @@
     )
 
 
-def wait_for(condition):
-    with eventlet.Timeout(10.0):
-        while not condition():
-            eventlet.sleep(0.005)
-
-
 @pytest.mark.parametrize('failures', [0, 1, 2])
 def test_carried_item_is_listed_although_its_text_fails_to_come(
     store, log, monkeypatch, failures
@@ -153,14 +114,16 @@
     # Guards against a job that never runs after one failed read.
     monkeypatch.setattr(runner_module, 'OPEN_RETRY_S', 0.01)
     submit(log, 'old', ('i0', 'i1'))
-    wait_for(lambda: log.table.get('old'))
+    store_kernel.wait_for(lambda: log.table.get('old'))
     log.enqueue(records.ItemResult('old', 0, 'done', (1,)), ('text',))
     log.enqueue(records.JobEnd('old'))
-    wait_for(lambda: log.table.get('old').is_ended)
+    store_kernel.wait_for(lambda: log.table.get('old').is_ended)
     log.forget_texts()
     store.failing_text_reads = failures
     submit(log, 'new', ('i0', 'i1'))
-    wait_for(lambda: log.table.get('new') and log.table.get('new').results)
+    store_kernel.wait_for(
+        lambda: log.table.get('new') and log.table.get('new').results
+    )
     (listed,) = log.table.get('new').results
     (text,) = log.read_texts([listed.place])
     assert text.text == 'text'
@@ -176,13 +139,13 @@
         replica = job_builders.make_replica(replica_id, slots=1)
         add(deployment.ReplicaChange(replica_id, replica))
     submit(log, 'job', ('i0', 'i1', 'i2'), expected_tokens=100)
-    wait_for(lambda: len(engines.runs) == 2)
+    store_kernel.wait_for(lambda: len(engines.runs) == 2)
     slow, fast = engines.started['r1'][0], engines.started['r2'][0]
     engines.runs[fast].make_events(10, 0.04)
     eventlet.sleep(2 * runner_module.TICK_S)
     engines.runs[slow].make_events(10, 0.4)
     engines.runs[fast].complete()
-    wait_for(lambda: len(engines.started['r2']) > 1)
+    store_kernel.wait_for(lambda: len(engines.started['r2']) > 1)
     eventlet.sleep(2 * runner_module.TICK_S)
     assert engines.started['r2'][1] == slow
     assert slow not in engines.started['r1'][1:]
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -1,46 +1,22 @@
 """The work log under refused, lost and late appends."""
 
+import contextlib
 import time
-import types
 
 import eventlet
 import pytest
 
-from lentildeal._internal.directory import replicas
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import texts as texts_module
 from lentildeal._internal.jobs import work_log
 from tests.lib import fake_store
 from tests.lib import job_builders
+from tests.lib import store_kernel
 
 Fault = fake_store.Fault
 
 
-class Kernel:
-    """Kernel with a directory whose store is a fake."""
-
-    def __init__(self, store):
-        self.settings = types.SimpleNamespace(
-            instance='a',
-            store=types.SimpleNamespace(
-                call_bytes=2_000_000, record_bytes=262_144, status_s=120
-            ),
-        )
-        self.incarnation = 1
-        self.directory = types.SimpleNamespace(
-            platform=types.SimpleNamespace(store=store),
-            replicas=replicas.ReplicaTable(),
-        )
-        self.threads = []
-
-    def plugin(self, name):
-        return getattr(self, name)
-
-    def spawn(self, name, function, *arguments):
-        self.threads.append(eventlet.spawn(function, *arguments))
-
-
 @pytest.fixture
 def store():
     return fake_store.FakeStore()
@@ -48,18 +24,8 @@
 
 @pytest.fixture
 def log(store):
-    kernel = Kernel(store)
-    result = work_log.WorkLog(kernel)
-    result.start()
-    yield result
-    for thread in kernel.threads:
-        thread.kill()
-
-
-def wait_for(condition):
-    with eventlet.Timeout(10.0):
-        while not condition():
-            eventlet.sleep(0.005)
+    with contextlib.closing(store_kernel.StoreKernel(store, 120)) as kernel:
+        yield kernel.add_work_log()
 
 
 def entry_of(log):
@@ -80,11 +46,11 @@
     log.append([job_builders.make_accepted()])
     store.faults = [None] * failing + [fault]
     list_result(log)
-    wait_for(lambda: entry_of(log) and entry_of(log).results)
+    store_kernel.wait_for(lambda: entry_of(log) and entry_of(log).results)
     store.carry_out_late()
     list_result(log, events=('other',))
     list_result(log, 1, ('last',))
-    wait_for(lambda: entry_of(log).is_whole)
+    store_kernel.wait_for(lambda: entry_of(log).is_whole)
     first, _ = log.read_texts([r.place for r in entry_of(log).results])
     assert first.text == 'one\ntwo'
 
@@ -96,9 +62,9 @@
     store.faults = [Fault.SILENT, None, Fault.SILENT]
     started_s = time.monotonic()
     list_result(log)
-    wait_for(lambda: entry_of(log) and entry_of(log).results)
+    store_kernel.wait_for(lambda: entry_of(log) and entry_of(log).results)
     assert time.monotonic() - started_s < 2.0
-    wait_for(lambda: not log.queued_count and not store.faults)
+    store_kernel.wait_for(lambda: not log.queued_count and not store.faults)
 
 
 def test_text_is_stored_once_although_its_listing_fails(store, log):
@@ -106,7 +72,7 @@
     log.append([job_builders.make_accepted()])
     store.faults = [None, Fault.REFUSED, Fault.LOST_ANSWER]
     list_result(log)
-    wait_for(lambda: entry_of(log) and entry_of(log).results)
+    store_kernel.wait_for(lambda: entry_of(log) and entry_of(log).results)
     assert len(store.streams[records.text_stream('job')]) == 1
 
 
@@ -116,15 +82,15 @@
     streams = {records.text_stream(f'job{n}'): f'job{n}' for n in range(20)}
     for job_id in streams.values():
         log.append([job_builders.make_accepted(job_id)])
-    wait_for(lambda: all(map(log.table.get, streams.values())))
+    store_kernel.wait_for(lambda: all(map(log.table.get, streams.values())))
     store.failing_stream = next(iter(streams))
     for job_id in streams.values():
         log.enqueue(records.ItemResult(job_id, 0, 'done', (1,)), ('text',))
     sound = list(streams.values())[1:]
-    wait_for(lambda: all(log.table.get(j).results for j in sound))
+    store_kernel.wait_for(lambda: all(log.table.get(j).results for j in sound))
     assert not log.table.get(streams[store.failing_stream]).results
     store.failing_stream = None
-    wait_for(lambda: not log.queued_count)
+    store_kernel.wait_for(lambda: not log.queued_count)
 
 
 def test_records_queued_in_an_outage_are_appended_after_it(store, log):
@@ -135,7 +101,7 @@
     eventlet.sleep(0.2)
     assert log.queued_count
     store.is_down = False
-    wait_for(lambda: entry_of(log) and entry_of(log).results)
+    store_kernel.wait_for(lambda: entry_of(log) and entry_of(log).results)
 
 
 def test_outage_restarts_the_time_since_when_the_log_is_heard(
@@ -143,35 +109,35 @@
 ):
     # Guards against claims of duties right after an outage.
     monkeypatch.setattr(work_log, 'GAP_S', 0.1)
-    wait_for(lambda: log.is_caught_up)
+    store_kernel.wait_for(lambda: log.is_caught_up)
     before_s = log.heard_since_s
     store.is_down = True
     eventlet.sleep(0.3)
     store.is_down = False
-    wait_for(lambda: log.heard_since_s > before_s + 0.1)
+    store_kernel.wait_for(lambda: log.heard_since_s > before_s + 0.1)
 
 
 def test_log_is_read_on_from_the_oldest_record_left(store, log):
     # Guards against a follower that hangs after records were dropped.
-    wait_for(lambda: log.is_caught_up)
+    store_kernel.wait_for(lambda: log.is_caught_up)
     store.is_down = True
     eventlet.sleep(0.05)
     store.streams[records.WORK_STREAM] += [b'dropped'] * 5
     store.trim(records.WORK_STREAM, 5)
     store.is_down = False
     log.append([job_builders.make_accepted()])
-    wait_for(lambda: entry_of(log))
+    store_kernel.wait_for(lambda: entry_of(log))
 
 
 def test_neighbouring_texts_are_one_read(store, log):
     # Guards against a call to the store for each result of a page.
     log.append([job_builders.make_accepted(item_ids=tuple('abcdefgh'))])
-    wait_for(lambda: entry_of(log))
+    store_kernel.wait_for(lambda: entry_of(log))
     places = log.append_texts(
         records.text_stream('job'),
         [records.EventTexts((f'text {n}',)) for n in range(8)],
     )
-    fresh = work_log.WorkLog(Kernel(store))
+    fresh = work_log.WorkLog(store_kernel.StoreKernel(store))
     store.reads = 0
     texts = fresh.read_texts(places)
     assert [text.text for text in texts] == [f'text {n}' for n in range(8)]
