--- a/tests/functional/test_target_connections.py
+++ b/tests/functional/test_target_connections.py
@@ -13,6 +13,7 @@
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nContent-Length: 2\r\n\r\nok'
 )
+LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
 
 
 class ForgetfulTarget(keep_alive_server.KeepAliveServer):
