Score the items of jobs before their results are listed

The scoring request is stored with its item. A complete text is checkpointed, then scored through the route of the request; the proof of the answer is stored with the result.

Considered: calls through Gateway.forward, which ends after one round of replicas and would hold a thread for each text that waits; admission per attempt needs only Gateway.choose and attempt. Fields with default values are left out of records, so that the release before reads records without scores.

--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -37,6 +37,8 @@
         body: Complete body.
         deadline: When the caller stops waiting.
         is_client_gone: Returns whether the caller has closed its connection.
+        is_own: Whether the daemon itself makes the call, so that its headers
+            lack the identifier.
     """
 
     request_id: str
@@ -48,15 +50,24 @@
     body: bytes
     deadline: clock.Deadline
     is_client_gone: typing.Callable[[], bool]
+    is_own: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
 class LiveResponse:
-    """A response of a replica, forwarded unchanged."""
+    """A response of a replica, forwarded unchanged.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers to forward.
+        body: Complete body, or its parts as they arrive.
+        proof: See ``platform_base.ResponseInfo``.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: typing.Union[bytes, typing.Iterator[bytes]]
+    proof: typing.Optional[str] = None
 
 
 def drop_connection_headers(
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -39,7 +39,7 @@
 )
 
 
-class _AttemptResult(typing.NamedTuple):
+class AttemptResult(typing.NamedTuple):
     """Result of an attempt at a replica."""
 
     replica: deployment.Replica
@@ -158,7 +158,7 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         """Sends a call to one replica and reads its response."""
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
@@ -187,12 +187,16 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         is_stream = route.kind is deployment.RouteKind.STREAM
         platform = self._directory.platform
         headers = calls.drop_connection_headers(call.headers)
         headers += tuple(
-            platform.make_headers(replica, deadline_s=deadline.remaining_s)
+            platform.make_headers(
+                replica,
+                request_id=call.request_id if call.is_own else None,
+                deadline_s=deadline.remaining_s,
+            )
         )
         try:
             response = self._connections.send(
@@ -205,9 +209,9 @@
                 is_repeatable=route.kind is deployment.RouteKind.SAFE,
             )
         except exceptions.NotRunError as error:
-            return _AttemptResult(replica, None, True, error.message)
+            return AttemptResult(replica, None, True, error.message)
         except exceptions.MayHaveRunError as error:
-            return _AttemptResult(replica, None, False, error.message)
+            return AttemptResult(replica, None, False, error.message)
         is_streaming = False
         try:
             result = self._read_response(
@@ -216,7 +220,7 @@
             is_streaming = is_stream and result.response is not None
             return result
         except exceptions.TruncatedAnswerError as error:
-            return _AttemptResult(replica, None, False, error.message)
+            return AttemptResult(replica, None, False, error.message)
         finally:
             if not is_streaming:
                 response.abandon()
@@ -228,7 +232,7 @@
         response: target_connections.TargetResponse,
         *,
         is_stream: bool,
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         info = self._directory.platform.read_response(
             response.status, response.headers
         )
@@ -236,26 +240,28 @@
             self._loads[replica.replica_id] = info.load, clock.monotonic_s()
         if info.is_not_run:
             response.read()
-            return _AttemptResult(
+            return AttemptResult(
                 replica, None, True, f'status {response.status}'
             )
         if info.request_id != call.request_id:
-            return _AttemptResult(
+            return AttemptResult(
                 replica, None, False, 'response to another request'
             )
         if 'content-encoding' in response.headers:
-            return _AttemptResult(replica, None, False, 'encoded body')
+            return AttemptResult(replica, None, False, 'encoded body')
         headers = calls.drop_connection_headers(response.header_list)
         if is_stream and response.status == 200:
             body: typing.Any = response.iter_chunks()
         else:
             body = response.read()
-        live_response = calls.LiveResponse(response.status, headers, body)
-        return _AttemptResult(
+        live_response = calls.LiveResponse(
+            response.status, headers, body, info.proof
+        )
+        return AttemptResult(
             replica, live_response, False, f'status {response.status}'
         )
 
-    def _record_health(self, result: _AttemptResult, elapsed_s: float) -> None:
+    def _record_health(self, result: AttemptResult, elapsed_s: float) -> None:
         ready = self._directory.replicas.list_ready(result.replica.service)
         addresses = [replica.address for replica in ready]
         if result.is_success:
@@ -363,7 +369,7 @@
 
     def _wait_for_result(
         self, hedge: clock.Deadline
-    ) -> typing.Optional[_AttemptResult]:
+    ) -> typing.Optional[AttemptResult]:
         wait_s = min(CLIENT_CHECK_INTERVAL_S, self._deadline.remaining_s)
         if not hedge.has_passed:
             wait_s = min(wait_s, hedge.remaining_s)
@@ -374,7 +380,7 @@
         self._running -= 1
         return result
 
-    def _handle_failure(self, result: _AttemptResult) -> None:
+    def _handle_failure(self, result: AttemptResult) -> None:
         if not result.is_not_run:
             self._may_have_run = True
             self._failed_response = result.response or self._failed_response
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -38,7 +38,7 @@
     """
     first, location = entry.find_part(index)
     (part,) = work_log.read_texts([location])
-    return jobs.Item(*part.items[index - first])
+    return part.get_item(index - first)
 
 
 def load_tasks(
@@ -77,6 +77,7 @@
             if task.is_valid(progress, is_single):
                 task.progress = progress
                 task.saved_events = len(progress.events)
+                task.is_generated = saved.is_complete and bool(progress.events)
         found.append(task)
     return found
 
--- a/src/lentildeal/_internal/jobs/open_jobs.py
+++ b/src/lentildeal/_internal/jobs/open_jobs.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import typing
 
 from lentildeal._internal.jobs import scheduling
 from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.models import ids
+from lentildeal._internal.scoring import calls as scoring_calls
 
 
 class OpenJob:
@@ -30,14 +32,8 @@
         jobs: Open jobs, the oldest first.
     """
     keyed = []
-    ranks: dict[ids.ModelName, int] = {}
-    for job in jobs:
-        rank = ranks.get(job.entry.head.model, 0)
-        ranks[job.entry.head.model] = rank + 1
-        left: dict[ids.GroupId, int] = {}
-        for task in job.iter_tasks():
-            group = task.item.group
-            left[group] = left.get(group, 0) + 1
+    for rank, job in _rank_jobs(jobs):
+        left = _count_left(job)
         for task in job.iter_tasks():
             if task.is_waiting:
                 key = scheduling.order_key(
@@ -48,3 +44,39 @@
                 )
                 keyed.append((key, len(keyed), task))
     return [task for _, _, task in sorted(keyed, key=lambda k: k[:2])]
+
+
+def sort_unscored(jobs: typing.Iterable[OpenJob]) -> list[tasks.ItemTask]:
+    """Sorts the items that wait for a score, the next to score first.
+
+    Args:
+        jobs: Open jobs, the oldest first.
+    """
+    keyed = []
+    for rank, job in _rank_jobs(jobs):
+        unscored = [task for task in job.iter_tasks() if task.is_unscored]
+        left = _count_left(job) if unscored else {}
+        for task in unscored:
+            key = scoring_calls.order_key(
+                job_rank=rank,
+                is_resubmitted=task.is_resubmitted,
+                left_in_group=left[task.item.group],
+                index=task.index,
+            )
+            keyed.append((key, len(keyed), task))
+    return [task for _, _, task in sorted(keyed, key=lambda k: k[:2])]
+
+
+def _rank_jobs(
+    jobs: typing.Iterable[OpenJob],
+) -> typing.Iterator[tuple[int, OpenJob]]:
+    """Yields jobs with the number of older open jobs of the same model."""
+    ranks: collections.Counter[ids.ModelName] = collections.Counter()
+    for job in jobs:
+        yield ranks[job.entry.head.model], job
+        ranks[job.entry.head.model] += 1
+
+
+def _count_left(job: OpenJob) -> collections.Counter[ids.GroupId]:
+    """Counts the items without a result in each group."""
+    return collections.Counter(task.item.group for task in job.iter_tasks())
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -66,7 +66,7 @@
     results: tuple[jobs.Result, ...]
 
 
-@plugins.register('jobs', after=('directory', 'work_log', 'duties'))
+@plugins.register('jobs', after=('directory', 'gateway', 'work_log', 'duties'))
 class Jobs(plugins.Plugin):
     """Accepts jobs of trainers and serves their results."""
 
@@ -305,6 +305,7 @@
                 result.state,
                 '' if result.location is None else next(texts).text,
                 result.versions,
+                result.score,
             )
             for result in listed
         )
--- a/src/lentildeal/_internal/jobs/recording.py
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -32,11 +32,16 @@
         task: tasks.ItemTask,
         state: jobs.ResultState,
         progress: jobs.Progress,
+        score: str = '',
     ) -> None:
         """Enqueues the result of an item and marks the item as done."""
         task.is_done = True
         record = records.ItemResult(
-            task.entry.head.job_id, task.index, state.value, progress.versions
+            task.entry.head.job_id,
+            task.index,
+            state.value,
+            progress.versions,
+            score=score,
         )
         self._log.enqueue(record, progress.events or None)
         elapsed_s = clock.monotonic_s() - task.created_s
@@ -67,6 +72,19 @@
             progress = task.attempt.progress
         if len(progress.events) - task.saved_events < min_new_events:
             return
+        self._enqueue_checkpoint(task, progress, is_complete=False)
+
+    def save_complete_text(self, task: tasks.ItemTask) -> None:
+        """Enqueues a checkpoint of a text that only lacks its score.
+
+        A daemon that takes over the item sends the scoring request again and
+        does not generate the text again.
+        """
+        self._enqueue_checkpoint(task, task.progress, is_complete=True)
+
+    def _enqueue_checkpoint(
+        self, task: tasks.ItemTask, progress: jobs.Progress, is_complete: bool
+    ) -> None:
         task.saved_events = len(progress.events)
         record = records.Checkpoint(
             task.entry.head.job_id,
@@ -74,5 +92,6 @@
             progress.versions,
             len(progress.events),
             progress.last_event_id,
+            is_complete=is_complete,
         )
         self._log.enqueue(record, progress.events)
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -76,7 +76,17 @@
 @register_record(2)
 @dataclasses.dataclass(frozen=True)
 class ItemResult:
-    """Result of an item, with offset and size of its text if any."""
+    """Result of an item, with offset and size of its text if any.
+
+    Attributes:
+        job_id: Job of the item.
+        index: Position of the item in the job.
+        state: Value of ``jobs.ResultState``.
+        versions: Versions that generated the text.
+        offset: Offset of the text, -1 without one.
+        size_bytes: Size of the record with the text.
+        score: Proof of the answer that scored the text, empty without one.
+    """
 
     job_id: ids.JobId
     index: int
@@ -84,6 +94,7 @@
     versions: tuple[int, ...]
     offset: int = -1
     size_bytes: int = 0
+    score: str = ''
 
 
 @register_record(3)
@@ -97,7 +108,18 @@
 @register_record(4)
 @dataclasses.dataclass(frozen=True)
 class Checkpoint:
-    """Progress of an incomplete item, with the location of its text."""
+    """Progress of an item without a result, with the location of its text.
+
+    Attributes:
+        job_id: Job of the item.
+        index: Position of the item in the job.
+        versions: Versions that generated the text.
+        event_count: Number of events of the text.
+        last_event_id: Identifier of the last event.
+        offset: Offset of the text.
+        size_bytes: Size of the record with the text.
+        is_complete: Whether the text is complete and only lacks its score.
+    """
 
     job_id: ids.JobId
     index: int
@@ -106,6 +128,7 @@
     last_event_id: str
     offset: int = -1
     size_bytes: int = 0
+    is_complete: bool = False
 
 
 @register_record(5)
@@ -164,9 +187,13 @@
 
     items: tuple
 
+    def get_item(self, position: int) -> jobs.Item:
+        """Returns the item at a position of this part."""
+        return _decode_item(self.items[position])
+
     def iter_items(self) -> typing.Iterator[jobs.Item]:
         """Iterates over the items of this part."""
-        return (jobs.Item(*fields) for fields in self.items)
+        return map(_decode_item, self.items)
 
 
 @register_record(17)
@@ -196,10 +223,18 @@
 
 
 def encode(value: typing.Union[Record, Payload]) -> bytes:
-    """Encodes a record."""
+    """Encodes a record.
+
+    Trailing fields with their default value are left out, so that a release
+    that does not know a new field can read the records that don't use it.
+    """
     fields = [
         getattr(value, field.name) for field in dataclasses.fields(value)
     ]
+    for field in reversed(dataclasses.fields(value)):
+        if field.default is dataclasses.MISSING or fields[-1] != field.default:
+            break
+        fields.pop()
     return msgpack.packb(
         [_NUMBERS[type(value)], *fields], unicode_errors='surrogateescape'
     )
@@ -222,6 +257,20 @@
         ) from error
 
 
+def _encode_item(item: jobs.Item) -> tuple:
+    fields = dataclasses.astuple(item)
+    # Older releases do not know this field.
+    return fields if item.scoring is not None else fields[:-1]
+
+
+def _decode_item(fields: tuple) -> jobs.Item:
+    item = jobs.Item(*fields)
+    if item.scoring is None:
+        return item
+    scoring = jobs.ScoringRequest(*item.scoring)
+    return dataclasses.replace(item, scoring=scoring)
+
+
 def split_items(
     items: typing.Iterable[jobs.Item], record_bytes: int
 ) -> list[tuple[int, JobPart]]:
@@ -242,7 +291,7 @@
     first, size_bytes = 0, 0
     batch: list[tuple] = []
     for index, item in enumerate(items):
-        fields = dataclasses.astuple(item)
+        fields = _encode_item(item)
         item_bytes = len(msgpack.packb(fields))
         if item_bytes > limit:
             raise exceptions.BadRequestError(
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -15,6 +15,7 @@
 from lentildeal._internal.jobs import pace
 from lentildeal._internal.jobs import recording
 from lentildeal._internal.jobs import scheduling
+from lentildeal._internal.jobs import scoring
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
@@ -54,6 +55,7 @@
         self._replica_tracker = tasks.ReplicaTracker()
         self._wakeup = wakeup.Wakeup()
         self._recorder = recording.ItemRecorder(self._log)
+        self._scorer = scoring.ItemScorer(kernel, self._recorder, self._wakeup)
         self._checkpointed_s = 0.0
         self._is_draining = False
 
@@ -75,6 +77,7 @@
                 self._check_attempts()
                 self._give_up_overdue()
                 self._assign_waiting()
+                self._score_generated()
                 self._save_progress()
             self._connections.close_expired()
             self._wakeup.wait(POLL_INTERVAL_S)
@@ -90,8 +93,7 @@
         self._is_draining = True
         for job in list(self._jobs.values()):
             for task in job.iter_tasks():
-                if task.attempt is not None:
-                    task.progress = self._stop_attempt(task)
+                self._stop_work(task)
                 self._recorder.save_checkpoint(task, 1)
         self._jobs.clear()
 
@@ -113,8 +115,7 @@
             if job.entry.is_open and not is_lost:
                 continue
             for task in job.iter_tasks():
-                if task.attempt is not None:
-                    task.progress = self._stop_attempt(task)
+                self._stop_work(task)
                 if not is_lost:
                     # The group may be submitted again in a later job.
                     self._recorder.save_checkpoint(task, 1)
@@ -173,11 +174,10 @@
             if not task.is_valid(progress, self._is_single(task)):
                 continue
             (texts,) = self._log.read_texts([found[1].location])
-            self._recorder.list_result(
-                task,
-                jobs.ResultState.DONE,
-                jobs.Progress(texts.events, versions=found[1].versions),
+            task.progress = jobs.Progress(
+                texts.events, versions=found[1].versions
             )
+            self._handle_complete(task)
 
     # Scheduling decisions.
 
@@ -295,8 +295,7 @@
                 age_ms = now_ms - task.entry.head.submitted_ms
                 is_overdue = age_ms > 1000 * route.max_item_age_s
             if is_overdue:
-                if task.attempt is not None:
-                    self._stop_attempt(task)
+                self._stop_work(task)
                 self._recorder.list_result(
                     task, jobs.ResultState.GIVEN_UP, jobs.Progress()
                 )
@@ -315,6 +314,13 @@
             if chosen is not None and not chosen.is_avoided:
                 self._start_attempt(task, chosen)
 
+    def _score_generated(self) -> None:
+        self._scorer.start_due(
+            task
+            for task in open_jobs.sort_unscored(self._jobs.values())
+            if self._holds_lease(task.entry.head.model)
+        )
+
     # Attempts.
 
     def _start_attempt(
@@ -360,6 +366,12 @@
         self._handle_outcome(task, attempt, outcome)
         self._wakeup.set()
 
+    def _stop_work(self, task: tasks.ItemTask) -> None:
+        """Stops the generation and the scoring of an item."""
+        if task.attempt is not None:
+            task.progress = self._stop_attempt(task)
+        self._scorer.stop(task)
+
     def _stop_attempt(self, task: tasks.ItemTask) -> jobs.Progress:
         """Stops an attempt at once and returns its progress."""
         attempt, task.attempt = task.attempt, None
@@ -401,10 +413,13 @@
 
     def _handle_complete(self, task: tasks.ItemTask) -> None:
         progress = task.progress
-        if task.is_valid(progress, self._is_single(task)):
+        if not task.is_valid(progress, self._is_single(task)):
+            task.progress = jobs.Progress()
+        elif task.item.scoring is None:
             self._recorder.list_result(task, jobs.ResultState.DONE, progress)
         else:
-            task.progress = jobs.Progress()
+            task.is_generated = True
+            self._recorder.save_complete_text(task)
 
     def _handle_failure(
         self, task: tasks.ItemTask, outcome: attempts.AttemptOutcome
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -22,6 +22,7 @@
     state: jobs.ResultState
     versions: tuple[int, ...]
     location: typing.Optional[records.RecordLocation]
+    score: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,6 +33,12 @@
     event_count: int
     last_event_id: str
     location: records.RecordLocation
+    is_complete: bool = False
+
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Sort key; the most advanced checkpoint is the largest."""
+        return self.is_complete, self.event_count
 
 
 class JobEntry:
@@ -135,7 +142,7 @@
             index = entry.find_index(item_id)
             if index is not None and index in entry.checkpoints:
                 found.append(entry.checkpoints[index])
-        return max(found, key=lambda saved: saved.event_count, default=None)
+        return max(found, key=lambda saved: saved.rank, default=None)
 
     def apply(self, record: records.Record) -> bool:
         """Applies a record and returns whether it changed the state."""
@@ -199,6 +206,7 @@
             jobs.ResultState(record.state),
             record.versions,
             location,
+            record.score,
         )
         if not entry.list_result(result):
             return False
@@ -212,13 +220,15 @@
     ) -> bool:
         if entry.is_listed(record.index):
             return False
-        known = entry.checkpoints.get(record.index)
-        if known is not None and known.event_count >= record.event_count:
-            return False
-        entry.checkpoints[record.index] = SavedProgress(
+        saved = SavedProgress(
             record.versions,
             record.event_count,
             record.last_event_id,
             entry.make_location(record.offset, record.size_bytes),
+            record.is_complete,
         )
+        known = entry.checkpoints.get(record.index)
+        if known is not None and known.rank >= saved.rank:
+            return False
+        entry.checkpoints[record.index] = saved
         return True
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -44,6 +44,8 @@
         self.attempt: typing.Optional[attempts.Attempt] = None
         self.thread: typing.Any = None
         self.is_done = False
+        # Whether the text is complete and only lacks its score.
+        self.is_generated = False
         self.attempt_count = 0
         self.failures = 0
         self.moves = 0
@@ -54,7 +56,12 @@
     @property
     def is_waiting(self) -> bool:
         """Whether the item waits for a replica."""
-        return self.attempt is None and not self.is_done
+        return not (self.attempt or self.is_done or self.is_generated)
+
+    @property
+    def is_unscored(self) -> bool:
+        """Whether the item waits for the score of its text."""
+        return self.is_generated and not self.is_done
 
     @property
     def expected_left(self) -> float:
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -281,6 +281,24 @@
     reason='Why it was moved.',
     events='Number of events kept.',
 )
+define(
+    'scoring_started',
+    'The text of an item is complete; its scoring request was sent.',
+    item='Item id.',
+    job='Job id.',
+    request='Id of the scoring request.',
+    replica='Replica.',
+    attempt='Number of the attempt.',
+)
+define(
+    'scoring_given_up',
+    'The scoring service answered the request of an item only with errors.',
+    item='Item id.',
+    job='Job id.',
+    request='Id of the scoring request.',
+    errors='Number of error answers.',
+    reason='Last error.',
+)
 define(
     'item_ended',
     'An item got a result.',
--- a/src/lentildeal/_internal/models/jobs.py
+++ b/src/lentildeal/_internal/models/jobs.py
@@ -16,6 +16,23 @@
     GIVEN_UP = 'given_up'
 
 
+@dataclasses.dataclass(frozen=True)
+class ScoringRequest:
+    """Request whose answer scores the complete text of an item.
+
+    Attributes:
+        request_id: Identifier assigned by the trainer.
+        host: Host of the request's route.
+        path: Path and query of the request.
+        body: Body of the request.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 @dataclasses.dataclass(frozen=True)
 class Item:
     """One request of a job.
@@ -27,6 +44,8 @@
         headers: Headers that are forwarded unchanged.
         body: Body of the request.
         expected_tokens: Estimated number of tokens to generate.
+        scoring: Request that scores the text, None for an item without a
+            score.
     """
 
     item_id: ids.ItemId
@@ -35,6 +54,7 @@
     headers: dict[str, str]
     body: bytes
     expected_tokens: int = 0
+    scoring: typing.Optional[ScoringRequest] = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -94,9 +114,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Result:
-    """Final result of one item."""
+    """Final result of one item.
+
+    Attributes:
+        item_id: The item.
+        state: Whether the text is complete.
+        text: Text of a complete item.
+        versions: Versions that generated the text, ascending.
+        score: Proof of the answer that scored the text, empty without one.
+    """
 
     item_id: ids.ItemId
     state: ResultState
     text: str
     versions: tuple[int, ...]
+    score: str = ''
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -176,18 +176,23 @@
         'Total': page.total,
         # Despite its name, NextToken is a position in the results.
         'NextToken': page.next,
-        'Results': [
-            {
-                'Id': result.item_id,
-                'State': _RESULT_STATES[result.state],
-                'Text': result.text,
-                'Versions': list(result.versions),
-            }
-            for result in page.results
-        ],
+        'Results': [_encode_result(result) for result in page.results],
     }
 
 
+def _encode_result(result: jobs.Result) -> dict[str, typing.Any]:
+    document = {
+        'Id': result.item_id,
+        'State': _RESULT_STATES[result.state],
+        'Text': result.text,
+        'Versions': list(result.versions),
+    }
+    if result.score:
+        # Not a number: the stamp of the answer that scored the text.
+        document['Score'] = result.score
+    return document
+
+
 def _decode_item(entry: dict) -> jobs.Item:
     item_id = entry['Id']
     try:
@@ -203,6 +208,7 @@
             headers=headers,
             body=base64.b64decode(entry.get('Body') or '', validate=True),
             expected_tokens=int(hint if hint.isdigit() else usage[-1]),
+            scoring=_decode_scoring(entry.get('Scorer')),
         )
     except (
         KeyError,
@@ -214,6 +220,19 @@
         raise ValueError(f'item {item_id!r}: {error!r}') from error
 
 
+def _decode_scoring(
+    entry: typing.Optional[dict],
+) -> typing.Optional[jobs.ScoringRequest]:
+    if entry is None:
+        return None
+    return jobs.ScoringRequest(
+        request_id=str(entry['Id']),
+        host=str(entry['Host']),
+        path=str(entry['Path']),
+        body=base64.b64decode(entry.get('Body') or '', validate=True),
+    )
+
+
 def _read_host(request: http_server.Request) -> str:
     return (
         urllib.parse.urlsplit(f'//{request.headers.get("host", "")}')
--- /dev/null
+++ b/src/lentildeal/_internal/scoring/__init__.py
@@ -0,0 +1,1 @@
+"""Scoring calls: when they are sent, repeated and given up."""
--- a/tests/lib/job_builders.py
+++ b/tests/lib/job_builders.py
@@ -11,6 +11,7 @@
 
 MODEL = 'model'
 SERVICE = 'engines'
+SCORING_SERVICE = 'desk'
 HOST = 'club.example'
 # Unix time of tests that need one, in seconds.
 NOW_S = 1_000_000.0
@@ -29,6 +30,17 @@
     return jobs.Item(**{**values, **overrides})
 
 
+def make_scoring(request_id='s0', **overrides) -> jobs.ScoringRequest:
+    """A request of the path that ``make_scoring_route`` covers."""
+    values = {
+        'request_id': request_id,
+        'host': HOST,
+        'path': '/scores/1',
+        'body': b'text',
+    }
+    return jobs.ScoringRequest(**{**values, **overrides})
+
+
 def make_head(job_id='job', item_count=2, **overrides) -> jobs.JobHead:
     """Head of a job that accepts version 1 and newer."""
     values = {
@@ -96,6 +108,18 @@
     return deployment.Route(**{**values, **overrides})
 
 
+def make_scoring_route(**overrides) -> deployment.Route:
+    """Route of scoring requests."""
+    values = {
+        'name': 'scores',
+        'path_prefix': '/scores/',
+        'kind': deployment.RouteKind.SAFE,
+        'shares': (deployment.Share(SCORING_SERVICE, 1),),
+        **overrides,
+    }
+    return make_route(**values)
+
+
 def make_published_text(*routes, version=1) -> deployment.PublishedText:
     """Published text with one engine service of one model."""
     return deployment.PublishedText(
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -39,6 +39,9 @@
                 text=job_builders.make_published_text(),
                 is_loaded=True,
             ),
+            'gateway': types.SimpleNamespace(
+                choose=lambda service, tried: None
+            ),
             # This daemon holds all leases.
             'duties': types.SimpleNamespace(
                 find_term=lambda lease_name: 1,
--- a/tests/unit/jobs/test_records.py
+++ b/tests/unit/jobs/test_records.py
@@ -1,5 +1,6 @@
 """Encoding of the work log's records."""
 
+import msgpack
 import pytest
 
 from lentildeal._internal import exceptions
@@ -13,6 +14,9 @@
         job_builders.make_accepted(),
         job_builders.make_result(versions=(1, 2)),
         records.Checkpoint('job', 1, (3,), 2, '2', 7, 9),
+        records.Checkpoint('job', 1, (3,), 2, '2', 7, 9, True),
+        records.ItemResult('job', 1, 'done', (1,), 7, 9, 'proof'),
+        records.ItemResult('job', 1, 'done', (1,), score='proof'),
         records.Claim('jobs/m', -1, 0, 'a', 2**62),
         records.Renewal((('jobs/m', 4),)),
         records.JobPart((('i', 'g', '/p', {'a': 'b'}, b'\x00', 1),)),
@@ -45,6 +49,27 @@
     ]
 
 
+def test_scoring_request_is_stored_with_its_item():
+    # Guards against a takeover that loses how a text is scored.
+    scored = job_builders.make_item(scoring=job_builders.make_scoring())
+    plain = job_builders.make_item('i1')
+    ((_, part),) = records.split_items([scored, plain], 12_000)
+    part = records.decode(records.encode(part))
+    assert list(part.iter_items()) == [scored, plain]
+    assert part.get_item(0) == scored
+
+
+def test_records_without_scores_are_readable_by_the_release_before():
+    # Guards against daemons of two releases that list different results.
+    # The release before reads six fields of these records and of an item.
+    result = records.ItemResult('job', 1, 'done', (1,), 7, 9)
+    saved = records.Checkpoint('job', 1, (3,), 2, '2', 7, 9)
+    ((_, part),) = records.split_items([job_builders.make_item()], 12_000)
+    for record, count in ((result, 6), (saved, 7)):
+        assert len(msgpack.unpackb(records.encode(record))) == 1 + count
+    assert len(part.items[0]) == 6
+
+
 def test_item_over_the_limit_is_refused():
     # Guards against a job that can't be stored after its acceptance.
     with pytest.raises(exceptions.BadRequestError, match='item big'):
--- a/tests/unit/jobs/test_table.py
+++ b/tests/unit/jobs/test_table.py
@@ -47,6 +47,17 @@
         assert got == expected
 
 
+def test_checkpoint_of_a_complete_text_replaces_longer_ones():
+    # Guards against a text that is generated again for a lost score.
+    complete = records.Checkpoint('job', 0, (1,), 3, '3', 7, 9, True)
+    longer = records.Checkpoint('job', 0, (1,), 5, '5', 8, 9)
+    for found in ((complete, longer), (longer, complete)):
+        folded = fold(job_builders.make_accepted(), *found)
+        saved = folded.find_checkpoint('i0')
+        assert saved.is_complete
+        assert saved.event_count == 3
+
+
 def test_result_before_its_job_or_without_an_item_is_ignored():
     # Guards against a listed result without an item.
     folded = fold(
--- /dev/null
+++ b/tests/unit/scoring/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of scoring calls."""
