Extend an expired lease only if the log shows no other claim

Another daemon claimed it and ordered at 23.8 s. After the cut, at 27.8 s, baker-6 ordered again: its renewal was confirmed, which extended the lease, before it had read the claim that stood before the renewal in the log.

A renewal that is confirmed after the lease has expired extends it only after the log was read.

Found by reading: orders under a new lease began a second after the claim, or at once after a resignation, so that orders of two holders could be less than the lease time of the platform apart. Where replicas check no fences, they now begin a lease time after the last order that the previous holder may have sent.

--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -9,6 +9,7 @@
 import prometheus_client
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import leases
 from lentildeal._internal.jobs import records
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
@@ -45,6 +46,9 @@
 # renewals do not fill the queue of a slow store.
 RENEWAL_TIMEOUT_S = 0.6
 MAX_RENEWAL_TIMEOUT_S = 1.2
+# Longest time from the check of a lease to the arrival of an order that was
+# sent under it: an attempt on an idle connection and one on a new connection.
+ORDER_FLIGHT_S = 1.0
 # Renewals that are added to a batch of other records need no append of their
 # own.
 PIGGYBACK_RENEWAL_INTERVAL_S = 0.25
@@ -151,12 +155,21 @@
         return self._make_renewal()
 
     def handle_appended(self, renewal: records.Renewal, sent_s: float) -> None:
-        """See ``append_queue.PiggybackSource``."""
+        """See ``append_queue.PiggybackSource``.
+
+        A renewal that was confirmed after the lease had expired may follow the
+        claim of another daemon in the log, so it extends nothing.
+        """
         self._renewed_s = sent_s
         for lease_name, term in renewal.leases:
             lease = self._leases.get(lease_name)
-            if lease is not None and lease.term == term:
-                lease.expires_s = max(lease.expires_s, sent_s + LEASE_S)
+            if lease is None or lease.term != term:
+                continue
+            if lease.expires_s <= clock.uptime_s():
+                # Renewed at the next check, which reads the log afterwards.
+                self._renewed_s = 0.0
+                continue
+            lease.expires_s = max(lease.expires_s, sent_s + LEASE_S)
 
     def _make_renewal(self) -> records.Renewal:
         return records.Renewal(
@@ -214,6 +227,7 @@
         renewal = self._make_renewal()
         try:
             self._log.append([renewal], self._renewal_timeout_s)
+            self._extend(renewal, now_s)
         except exceptions.PlatformError:
             # Retried at the next check; the lease expires if it keeps failing.
             self._renewal_timeout_s = min(
@@ -228,7 +242,28 @@
                 RENEWAL_INTERVAL_FACTOR * (clock.uptime_s() - now_s),
             ),
         )
-        self.handle_appended(renewal, now_s)
+
+    def _extend(self, renewal: records.Renewal, sent_s: float) -> None:
+        """Extends the leases of a confirmed renewal.
+
+        An expired lease is extended only if the log shows that no other
+        daemon claimed it before the renewal.
+
+        Raises:
+            exceptions.PlatformError: The log could not be read.
+        """
+        is_expired = any(
+            lease.expires_s <= clock.uptime_s()
+            for lease in self._leases.values()
+        )
+        if is_expired:
+            self._log.sync()
+            self._drop_lost()
+        self._renewed_s = sent_s
+        for lease_name, term in renewal.leases:
+            lease = self._leases.get(lease_name)
+            if lease is not None and lease.term == term:
+                lease.expires_s = max(lease.expires_s, sent_s + LEASE_S)
 
     def _claim_vacant(self) -> None:
         due: dict[str, list[ids.LeaseName]] = {}
@@ -252,8 +287,10 @@
         term = self._log.leases.get(lease_name).term
         is_known = lease_name in self._leases or term in self._resigned
         if self._is_holder(lease_name) and not is_known:
+            # The claim replaced a state that is not known any more.
+            lease_s = self._kernel.settings.store.lease_ms / 1000
             self._leases[lease_name] = _HeldLease(
-                group, term, 0.0, clock.uptime_s() + self._orders_wait_s()
+                group, term, 0.0, clock.uptime_s() + ORDER_FLIGHT_S + lease_s
             )
             self._renewed_s = 0.0
 
@@ -281,10 +318,33 @@
             delay_s += SMALL_INSTANCE_DELAY_S
         return delay_s
 
-    def _orders_wait_s(self) -> float:
-        """Time after a claim until the previous holder may not order."""
-        lease_s = self._kernel.settings.store.lease_ms / 1000
-        return max(0.0, lease_s - HOLDER_TIMEOUT_S)
+    def _orders_from_s(
+        self, previous: leases.LeaseState, claimed_s: float
+    ) -> float:
+        """Time from which orders may be sent under a claimed lease.
+
+        Orders of two holders to one replica have to be at least the lease
+        time of the platform apart. Replicas that check fencing tokens refuse
+        late orders themselves, and there only holders that are connected
+        count, so a part of that time suffices.
+
+        Args:
+            previous: State of the lease that the claim replaced.
+            claimed_s: When the claim was sent.
+        """
+        store = self._kernel.settings.store
+        lease_s = store.lease_ms / 1000
+        holder = previous.holder or previous.resigned_holder
+        if holder in (None, self._instance):
+            return claimed_s
+        if store.requires_fence:
+            if previous.holder is None:
+                return claimed_s
+            return claimed_s + max(0.0, lease_s - HOLDER_TIMEOUT_S)
+        last_check_s = previous.seen_s
+        if previous.holder is not None:
+            last_check_s += LEASE_S
+        return max(claimed_s, last_check_s + ORDER_FLIGHT_S + lease_s)
 
     def _claim(self, group: str, lease_names: list[ids.LeaseName]) -> None:
         """Claims leases of a group in one append.
@@ -292,7 +352,7 @@
         With one append per lease, two daemons that start at the same time
         would each win some of them.
         """
-        previous = {n: self._log.leases.get(n).holder for n in lease_names}
+        previous = {n: self._log.leases.get(n) for n in lease_names}
         claims = [
             self._log.leases.make_claim(
                 lease_name, self._instance, self._kernel.incarnation
@@ -315,18 +375,21 @@
         self,
         lease_name: ids.LeaseName,
         group: str,
-        previous: typing.Optional[ids.InstanceId],
+        previous: leases.LeaseState,
         sent_s: float,
     ) -> None:
         """Starts to hold a lease whose claim took effect."""
-        wait_s = 0.0
-        if previous not in (None, self._instance):
-            wait_s = self._orders_wait_s()
         term = self._log.leases.get(lease_name).term
         self._leases[lease_name] = _HeldLease(
-            group, term, sent_s + LEASE_S, sent_s + wait_s
+            group,
+            term,
+            sent_s + LEASE_S,
+            self._orders_from_s(previous, sent_s),
         )
         events.emit(
-            'duty_claimed', duty=lease_name, term=term, previous=previous
+            'duty_claimed',
+            duty=lease_name,
+            term=term,
+            previous=previous.holder,
         )
         self.changed.set()
--- a/src/lentildeal/_internal/jobs/leases.py
+++ b/src/lentildeal/_internal/jobs/leases.py
@@ -19,13 +19,24 @@
 
 @dataclasses.dataclass
 class LeaseState:
-    """State of a lease according to the log."""
+    """State of a lease according to the log.
+
+    Attributes:
+        term: Offset of the claim.
+        renewals: Renewals and resignations since the claim.
+        holder: Instance that holds the lease, None if it is vacant.
+        incarnation: Process of the holder.
+        seen_s: When the last record of the holder was read.
+        resigned_holder: Instance that resigned from the term, None if it has
+            not.
+    """
 
     term: ids.Term = NO_TERM
     renewals: int = 0
     holder: typing.Optional[ids.InstanceId] = None
     incarnation: int = 0
     seen_s: float = -math.inf
+    resigned_holder: typing.Optional[ids.InstanceId] = None
 
 
 class LeaseTable:
@@ -65,7 +76,7 @@
             state = self.get(record.lease_name)
             if state.term != record.term or state.holder is None:
                 return False
-            state.holder = None
+            state.resigned_holder, state.holder = state.holder, None
             # A claim made before the resignation must not take effect after
             # it.
             state.renewals += 1
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -9,6 +9,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import lease_manager
 from lentildeal._internal.jobs import leases
+from lentildeal._internal.jobs import records
 from lentildeal._internal.models import deployment
 from lentildeal._internal.utils import clock
 from tests.lib import job_builders
@@ -44,7 +45,7 @@
         self.append([record])
 
 
-def make_manager(log, name, cores=2.0):
+def make_manager(log, name, cores=2.0, requires_fence=True):
     text = deployment.PublishedText(
         1,
         (),
@@ -66,7 +67,9 @@
         settings=types.SimpleNamespace(
             instance=name,
             resources=types.SimpleNamespace(cores=cores),
-            store=types.SimpleNamespace(lease_ms=3000),
+            store=types.SimpleNamespace(
+                lease_ms=3000, requires_fence=requires_fence
+            ),
         ),
     )
     return lease_manager.LeaseManager(kernel)
@@ -187,3 +190,96 @@
     assert not manager.may_order(lease_name)
     eventlet.sleep(1.2)
     assert manager.may_order(lease_name)
+
+
+class DelayedLog(SharedLog):
+    """A log whose records this daemon reads only when it syncs."""
+
+    def __init__(self):
+        super().__init__()
+        self.unread = []
+
+    def append(self, batch, timeout_s=None):
+        if self.is_cut:
+            raise exceptions.LogUnavailableError('cut off')
+        self.unread += [
+            (record, self.offset + n) for n, record in enumerate(batch)
+        ]
+        self.offset += len(batch)
+
+    def sync(self):
+        for record, offset in self.unread:
+            self.leases.apply(record, offset, clock.uptime_s())
+        self.unread.clear()
+
+    is_cut = False
+
+
+def test_renewal_after_a_cut_does_not_revive_a_lease():
+    """Guards against orders of two holders around a partition.
+
+    The renewal of a holder that was cut off from the store is confirmed
+    before the holder reads the claim that preceded it.
+    """
+    log = DelayedLog()
+    manager = make_manager(log, 'n0')
+    lease_name = lease_manager.orders_lease_name(job_builders.SERVICE)
+    run([manager], 0.5)
+    assert manager.may_order(lease_name)
+    log.is_cut = True
+    log.sync()
+    claim = log.leases.make_claim(lease_name, 'other', 1)
+    eventlet.sleep(lease_manager.HOLDER_TIMEOUT_S + 0.1)
+    assert not manager.may_order(lease_name)
+    log.unread.append((claim, log.offset))
+    log.offset += 1
+    log.is_cut = False
+    # Piggybacked renewals are confirmed as well.
+    renewal = manager.make_piggyback_record()
+    log.append([renewal])
+    manager.handle_appended(renewal, clock.uptime_s())
+    for _ in range(40):
+        assert not manager.may_order(lease_name)
+        eventlet.sleep(0.02)
+    assert manager.is_taken_over(lease_name)
+
+
+def test_lease_without_another_claim_is_held_again_after_a_cut():
+    # Guards against a holder that never orders again after a short outage.
+    log = DelayedLog()
+    manager = make_manager(log, 'n0')
+    lease_name = lease_manager.orders_lease_name(job_builders.SERVICE)
+    run([manager], 0.5)
+    log.is_cut = True
+    eventlet.sleep(lease_manager.LEASE_S + 0.1)
+    assert not manager.may_order(lease_name)
+    log.is_cut = False
+    eventlet.sleep(0.6)
+    assert manager.may_order(lease_name)
+
+
+@pytest.mark.parametrize('is_resigned', [False, True])
+def test_orders_to_replicas_without_fence_checks_are_a_lease_time_apart(
+    log, is_resigned
+):
+    """Guards against holders that order alternately within the lease time.
+
+    The previous holder may have checked its lease right before it expired or
+    was resigned, and its order may have been in flight for a second.
+    """
+    lease_name = lease_manager.orders_lease_name(job_builders.SERVICE)
+    log.append([log.leases.make_claim(lease_name, 'other', 1)])
+    state = log.leases.get(lease_name)
+    last_order_s = clock.uptime_s() + lease_manager.ORDER_FLIGHT_S
+    if is_resigned:
+        log.append([records.Resignation(lease_name, state.term)])
+    else:
+        state.seen_s -= lease_manager.HOLDER_TIMEOUT_S
+        last_order_s -= lease_manager.HOLDER_TIMEOUT_S - lease_manager.LEASE_S
+    manager = make_manager(log, 'n0', requires_fence=False)
+    run([manager], 0.0)
+    while clock.uptime_s() < last_order_s + 2.95:
+        assert not manager.may_order(lease_name)
+        eventlet.sleep(0.05)
+    eventlet.sleep(0.2)
+    assert manager.may_order(lease_name)
