--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -19,8 +19,14 @@
 
     # cut: the connection is closed after three events; fail: run, then
     # respond with 500; foreign: the response names another request; full: 503
-    # without running the request.
-    fault_defaults = {'cut': 0, 'fail': 0, 'foreign': 0, 'full': 0}
+    # without running the request; lose: run, then closed without a response.
+    fault_defaults = {
+        'cut': 0,
+        'fail': 0,
+        'foreign': 0,
+        'full': 0,
+        'lose': 0,
+    }
 
     def __init__(self, arguments: argparse.Namespace) -> None:
         super().__init__(arguments)
@@ -82,14 +88,21 @@
             return common.Response(503, {'Lentildeal-Not-Executed': '1'})
         last_event_id = request.headers.get('last-event-id')
         self._runs.append(
-            {'id': request_id, 'after': last_event_id, 'path': request.path}
+            {
+                'id': request_id,
+                'after': last_event_id,
+                'path': request.path,
+                'at_s': common.now_s(),
+            }
         )
         if self.faults.should_inject('foreign'):
             request_id = 'another'
         headers = {
             REQUEST_ID_HEADER: request_id,
-            'Lentildeal-Response-Stamp': 's',
+            'Lentildeal-Response-Stamp': f'{request_id}.{len(self._runs)}',
         }
+        if self.faults.should_inject('lose'):
+            request.abort()
         if self.faults.should_inject('fail'):
             return common.Response(500, headers)
         model = request.headers.get('lentildeal-model')
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -221,6 +221,19 @@
     }
 
 
+def make_scored_job(item_ids, **overrides) -> dict:
+    """Makes a job whose items are scored by the replica without a model."""
+    job = make_job(item_ids, **overrides)
+    for entry in job['Entries']:
+        entry['Scorer'] = {
+            'Id': f'score-{entry["Id"]}',
+            'Host': HOST,
+            'Path': f'/desk/score/{entry["Id"]}',
+            'Body': base64.b64encode(b'judge').decode(),
+        }
+    return job
+
+
 def submit(daemon, job_id: str, job: dict) -> int:
     """Submits a job; returns the status."""
     return daemon.call(
