Let daemons without leases or waiting callers read less often

Such a daemon now reads every 0.25 s, and its runner and its rotation check every 0.5 and 0.3 s. A lease, or a caller that waits for a result, starts the short interval at once; reads at a position and of unknown jobs synchronize as before.

--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -18,6 +18,8 @@
 WAIT_S = 0.8
 # Shortest time between two reads, so that one read returns a burst of changes.
 SPACING_S = 0.05
+# Time between two reads of a daemon that runs no jobs and sends no orders.
+IDLE_SPACING_S = 0.25
 # Longest time between two reads; changes have to take effect within two
 # seconds.
 LONGEST_SPACING_S = 0.5
@@ -49,17 +51,24 @@
     """Keeps a sink up to date with one keyed stream."""
 
     def __init__(
-        self, store: platform_base.RecordStore, stream: str, sink: KeyedSink
+        self,
+        store: platform_base.RecordStore,
+        stream: str,
+        sink: KeyedSink,
+        demand: typing.Optional[read_pacing.ReadDemand] = None,
     ) -> None:
         self._store = store
         self._stream = stream
         self._sink = sink
+        self._demand = demand
         self._next: typing.Optional[ids.Offset] = None
 
     def run(self) -> None:
         """Follows the stream; never returns."""
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
-        reads = read_pacing.ReadPacer(SPACING_S, LONGEST_SPACING_S)
+        reads = read_pacing.ReadPacer(
+            SPACING_S, LONGEST_SPACING_S, self._demand, IDLE_SPACING_S
+        )
         while True:
             try:
                 self._read_once()
@@ -79,7 +88,7 @@
             delays.reset()
             reads.record_response()
             self._sink.mark_reachable(self._stream)
-            eventlet.sleep(reads.next_interval_s())
+            reads.wait()
 
     def _read_once(self) -> None:
         if self._next is None:
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -16,6 +16,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.platform import adapter  # noqa: F401
 from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import read_pacing
 from lentildeal._internal.utils import wakeup
 
 _unreadable_total = prometheus_client.Counter(
@@ -34,6 +35,7 @@
         self.platform = platform_base.make_platform(kernel.settings)
         self.replicas = replicas.ReplicaTable()
         self.changed = wakeup.Wakeup()
+        self.read_demand = read_pacing.ReadDemand()
         self._text: typing.Optional[deployment.PublishedText] = None
         self._versions: dict[ids.ModelName, ids.Version] = {}
         self._reachable: dict[str, bool] = {}
@@ -60,7 +62,9 @@
     def start(self) -> None:
         """Starts a green thread for each stream."""
         for stream in self.platform.directory_streams:
-            keyed = follower.KeyedFollower(self.platform.store, stream, self)
+            keyed = follower.KeyedFollower(
+                self.platform.store, stream, self, self.read_demand
+            )
             self._kernel.spawn(f'follow-{stream}', keyed.run)
 
     def reload(self, settings: settings_module.Settings) -> None:
--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -93,6 +93,7 @@
         self._interval_s = RENEWAL_INTERVAL_S
         self._renewal_timeout_s = RENEWAL_TIMEOUT_S
         self._is_leaving = False
+        self._has_read_demand = False
 
     def start(self) -> None:
         """See the base class."""
@@ -190,9 +191,22 @@
                 self._renew()
                 if not self._is_leaving:
                     self._claim_vacant()
+                self._update_read_demand()
                 _held.set(len(self._leases))
             eventlet.sleep(CHECK_INTERVAL_S)
 
+    def _update_read_demand(self) -> None:
+        """Reads without delay while this daemon holds a lease."""
+        is_needed = bool(self._leases)
+        if is_needed == self._has_read_demand:
+            return
+        self._has_read_demand = is_needed
+        demand = self._directory.read_demand
+        if is_needed:
+            demand.add()
+        else:
+            demand.remove()
+
     def _iter_wanted_leases(
         self,
     ) -> typing.Iterator[tuple[ids.LeaseName, str]]:
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -133,16 +133,21 @@
             exceptions.NotRunError: The store does not respond.
         """
         entry = self._find_job(job_id)
-        deadline = clock.Deadline(wait_s)
-        while len(entry.results) <= after and entry.is_open:
-            if deadline.has_passed:
-                break
-            self._log.changed.wait(deadline.remaining_s)
+        with self._log.read_demand.hold():
+            self._wait_for_result(entry, after, clock.Deadline(wait_s))
         if entry.head.item_count > len(entry.results) <= after:
             # Another daemon may have read further in the log than this one.
             self._sync()
         return self._make_page(entry, after)
 
+    def _wait_for_result(
+        self, entry: table.JobEntry, after: int, deadline: clock.Deadline
+    ) -> None:
+        while len(entry.results) <= after and entry.is_open:
+            if deadline.has_passed:
+                return
+            self._log.changed.wait(deadline.remaining_s)
+
     def read_body(
         self, job_id: ids.JobId, item_id: ids.ItemId
     ) -> typing.Optional[bytes]:
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -27,6 +27,8 @@
 
 # Maximum delay until a change without a wakeup is noticed.
 POLL_INTERVAL_S = 0.1
+# The same of a daemon that runs no jobs.
+IDLE_POLL_INTERVAL_S = 0.5
 # Interval between checkpoints; events that a failed daemon received after the
 # last checkpoint are generated again.
 CHECKPOINT_S = 1.0
@@ -80,7 +82,9 @@
                 self._score_generated()
                 self._save_progress()
             self._connections.close_expired()
-            self._wakeup.wait(POLL_INTERVAL_S)
+            self._wakeup.wait(
+                POLL_INTERVAL_S if self._jobs else IDLE_POLL_INTERVAL_S
+            )
 
     def wake_on_changes(self, source: wakeup.Wakeup) -> None:
         """Wakes the scheduler after each signal of a source, endlessly."""
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -29,6 +29,9 @@
 # Minimum interval between two reads. All daemons have to see a result within a
 # second; one read of many records costs less than many reads.
 SPACING_S = 0.04
+# Time between two reads without a lease and without a caller that waits for a
+# result.
+IDLE_SPACING_S = 0.25
 # All daemons have to see a result within a second.
 LONGEST_SPACING_S = 0.3
 # Without a response for this long, reading of the log has a gap. Covers the
@@ -60,6 +63,7 @@
         self.table = table.JobTable()
         self.leases = leases.LeaseTable()
         self.changed = wakeup.Wakeup()
+        self.read_demand = kernel.plugin('directory').read_demand
         self._store = kernel.plugin('directory').platform.store
         self._replicas = kernel.plugin('directory').replicas
         self._settings = kernel.settings.store
@@ -276,7 +280,9 @@
 
     def _follow(self) -> None:
         delays = backoff.Backoff(FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
-        reads = read_pacing.ReadPacer(SPACING_S, LONGEST_SPACING_S)
+        reads = read_pacing.ReadPacer(
+            SPACING_S, LONGEST_SPACING_S, self.read_demand, IDLE_SPACING_S
+        )
         started_s = clock.monotonic_s()
         while True:
             try:
@@ -310,9 +316,10 @@
                     offset=self._next,
                     elapsed_ms=_elapsed_ms(started_s),
                 )
-            eventlet.sleep(
-                reads.next_interval_s() if self._is_caught_up else 0
-            )
+            if self._is_caught_up:
+                reads.wait()
+            else:
+                eventlet.sleep(0)
 
     @property
     def _may_wait(self) -> bool:
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -21,6 +21,8 @@
 
 # Longest time until an announced version or a new replica is noticed.
 CHECK_S = 0.1
+# Longest time until a new lease is noticed.
+IDLE_CHECK_S = 0.3
 # A load takes 0.9 s, and longer while others load; reports lag by 0.2 s.
 FIRST_POLL_S = 0.9
 POLL_S = 0.15
@@ -71,11 +73,15 @@
     def _run(self) -> None:
         while not self._is_draining:
             text = self._directory.text
+            is_holder = False
             if text is not None:
                 for service in text.iter_engine_services():
                     if self._may_order(service.name):
+                        is_holder = True
                         self._order_missing(service)
-            self._directory.changed.wait(CHECK_S)
+            self._directory.changed.wait(
+                CHECK_S if is_holder else IDLE_CHECK_S
+            )
 
     def _may_order(self, service: ids.ServiceName) -> bool:
         lease_name = lease_manager.orders_lease_name(service)
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -9,6 +9,7 @@
 from lentildeal._internal.directory import replicas
 from lentildeal._internal.jobs import work_log
 from lentildeal._internal.kernel import kernel as kernel_module
+from lentildeal._internal.utils import read_pacing
 from tests.lib import job_builders
 
 WAIT_S = 10.0
@@ -38,6 +39,7 @@
                 replicas=replicas.ReplicaTable(),
                 text=job_builders.make_published_text(),
                 is_loaded=True,
+                read_demand=read_pacing.ReadDemand(),
             ),
             'gateway': types.SimpleNamespace(
                 choose=lambda service, tried: None
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -12,6 +12,7 @@
 from lentildeal._internal.jobs import records
 from lentildeal._internal.models import deployment
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import read_pacing
 from tests.lib import job_builders
 
 MODELS = ('m0', 'm1', 'm2')
@@ -57,7 +58,9 @@
         deployment.IngressLimits(),
     )
     plugins = {
-        'directory': types.SimpleNamespace(is_loaded=True, text=text),
+        'directory': types.SimpleNamespace(
+            is_loaded=True, text=text, read_demand=read_pacing.ReadDemand()
+        ),
         'work_log': log,
     }
     kernel = types.SimpleNamespace(
--- a/tests/unit/utils/test_read_pacing.py
+++ b/tests/unit/utils/test_read_pacing.py
@@ -3,9 +3,11 @@
 import heapq
 import random
 
+import eventlet
 import pytest
 
 from lentildeal._internal.jobs import work_log
+from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import read_pacing
 
 LIMIT_PER_S = 2000
@@ -61,3 +63,41 @@
     answered, throttled = simulate_reads(40, monkeypatch)
     assert sum(throttled) == 0
     assert answered[-1] == pytest.approx(40 / work_log.SPACING_S, rel=0.1)
+
+
+def count_reads(demand, seconds=1.0):
+    """Counts the reads of one follower whose reads return at once."""
+    pacer = read_pacing.ReadPacer(
+        work_log.SPACING_S,
+        work_log.LONGEST_SPACING_S,
+        demand,
+        work_log.IDLE_SPACING_S,
+    )
+    reads = []
+
+    def read():
+        while True:
+            reads.append(clock.monotonic_s())
+            pacer.wait()
+
+    thread = eventlet.spawn(read)
+    eventlet.sleep(seconds)
+    thread.kill()
+    return reads
+
+
+def test_idle_daemon_reads_a_busy_stream_few_times_a_second():
+    # Guards against 190 idle daemons that read each append of the holder.
+    demand = read_pacing.ReadDemand()
+    assert len(count_reads(demand)) <= 6
+    with demand.hold():
+        assert len(count_reads(demand)) >= 15
+
+
+def test_caller_that_waits_for_a_result_ends_the_long_interval():
+    # Guards against results that reach a trainer late at an idle daemon.
+    demand = read_pacing.ReadDemand()
+    eventlet.spawn_after(0.1, demand.add)
+    reads = count_reads(demand, 0.3)
+    assert reads[1] - reads[0] < 0.15
+    assert len(reads) >= 4
