--- a/src/lentildeal/_internal/models/samples.py
+++ b/src/lentildeal/_internal/models/samples.py
@@ -33,6 +33,8 @@
         token_count: Number of generated tokens.
         segments: Token ranges by version, in order and without gaps.
         score: Score from the scoring service; None if there is none.
+        is_score_failed: Whether the scoring service answered only with
+            errors.
     """
 
     sample_id: ids.SampleId
@@ -42,6 +44,7 @@
     token_count: int
     segments: typing.Tuple[Segment, ...]
     score: typing.Optional[float] = None
+    is_score_failed: bool = False
 
     @property
     def oldest_version(self) -> ids.Version:
--- a/src/lentildeal/_internal/rollouts/coordinator.py
+++ b/src/lentildeal/_internal/rollouts/coordinator.py
@@ -135,7 +135,7 @@
             self._scorer = scoring.Scorer(
                 self._kernel.plugin('callers'),
                 self._trainer.scoring,
-                self._handle_score,
+                self._handle_scoring_end,
             )
         for sample in finished:
             if self._state.reuse_sample(sample) and sample.score is None:
@@ -317,7 +317,9 @@
         }
         return owners - {None}
 
-    def _handle_score(self, sample: samples.Sample, score: float) -> None:
+    def _handle_scoring_end(
+        self, sample: samples.Sample, score: typing.Optional[float]
+    ) -> None:
         self._state.set_score(sample, score)
         self._apply_change()
 
--- a/src/lentildeal/_internal/rollouts/delivery.py
+++ b/src/lentildeal/_internal/rollouts/delivery.py
@@ -106,7 +106,7 @@
 
 
 def _to_json(sample: samples.Sample) -> dict:
-    return {
+    document = {
         'id': sample.sample_id,
         'group': sample.group,
         'index': sample.index,
@@ -118,3 +118,6 @@
             for s in sample.segments
         ],
     }
+    if sample.is_score_failed:
+        document['score_failed'] = True
+    return document
--- a/src/lentildeal/_internal/rollouts/steps.py
+++ b/src/lentildeal/_internal/rollouts/steps.py
@@ -212,13 +212,20 @@
             if entry.sample is not None:
                 yield entry.sample
 
-    def set_score(self, sample: samples.Sample, score: float) -> None:
-        """Records a score; ignored if the result was dropped or scored."""
+    def set_score(
+        self, sample: samples.Sample, score: typing.Optional[float]
+    ) -> None:
+        """Records a score, or None if the scoring service gave none.
+
+        Ignored if the result was dropped or scored.
+        """
         entry = self._entries[sample.sample_id]
         is_expected = entry.state is entries.SampleState.GENERATED
         if not is_expected or entry.sample is not sample:
             return
-        entry.sample = dataclasses.replace(sample, score=score)
+        entry.sample = dataclasses.replace(
+            sample, score=score, is_score_failed=score is None
+        )
         self._set_ready(entry)
 
     def fail(
