--- a/model/__main__.py
+++ b/model/__main__.py
@@ -8,11 +8,13 @@
 from model import config_log
 from model import delivery
 from model import fencing
+from model import leases
 
 SPECS = (
     config_log.ConfigLog,
     fencing.Fencing,
     fencing.ReadBack,
+    leases.UnfencedLease,
     delivery.Delivery,
     claims.Claims,
 )
