--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -46,6 +46,7 @@
     response: typing.Optional[calls.LiveResponse]
     is_not_run: bool
     reason: str
+    load: typing.Optional[platform_base.ReplicaLoad] = None
 
     @property
     def is_success(self) -> bool:
@@ -241,7 +242,7 @@
         if info.is_not_run:
             response.read()
             return AttemptResult(
-                replica, None, True, f'status {response.status}'
+                replica, None, True, f'status {response.status}', info.load
             )
         if info.request_id != call.request_id:
             return AttemptResult(
@@ -258,7 +259,11 @@
             response.status, headers, body, info.proof
         )
         return AttemptResult(
-            replica, live_response, False, f'status {response.status}'
+            replica,
+            live_response,
+            False,
+            f'status {response.status}',
+            info.load,
         )
 
     def _record_health(self, result: AttemptResult, elapsed_s: float) -> None:
--- a/src/lentildeal/_internal/jobs/scoring.py
+++ b/src/lentildeal/_internal/jobs/scoring.py
@@ -8,6 +8,7 @@
 import eventlet
 import prometheus_client
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.gateway import calls as gateway_calls
 from lentildeal._internal.gateway import choice
 from lentildeal._internal.gateway import plugin as gateway_plugin
@@ -58,6 +59,7 @@
         self._scorings: dict[tasks.ItemTask, _TaskScoring] = {}
         # Running attempts by replica and by service.
         self._running: collections.Counter = collections.Counter()
+        self._live_load = calls.LiveLoad()
         self._limits: dict[ids.ServiceName, calls.AdmissionLimit] = (
             collections.defaultdict(calls.AdmissionLimit)
         )
@@ -140,14 +142,14 @@
     ) -> typing.Optional[deployment.Replica]:
         """Chooses a replica with a slot for a scoring call, None for none."""
         ready = self._directory.replicas.list_ready(service)
-        capacity = sum(calls.count_scoring_slots(r.slots) for r in ready)
+        slots = {r.replica_id: self._count_slots(r) for r in ready}
+        capacity = sum(slots.values())
         if self._running[service] >= self._limits[service].allowed(capacity):
             return None
         full = {
-            replica.replica_id
-            for replica in ready
-            if self._running[replica.replica_id]
-            >= calls.count_scoring_slots(replica.slots)
+            replica_id
+            for replica_id, count in slots.items()
+            if self._running[replica_id] >= count
         }
         chosen = self._gateway.choose(service, full | call.tried)
         if chosen is None:
@@ -156,6 +158,18 @@
             chosen = self._gateway.choose(service, full)
         return chosen
 
+    def _count_slots(self, replica: deployment.Replica) -> int:
+        return calls.count_scoring_slots(
+            replica.slots, self._live_load.peak(replica.replica_id)
+        )
+
+    def _record_load(
+        self, replica: deployment.Replica, load: platform_base.ReplicaLoad
+    ) -> None:
+        others = load.running + load.waiting
+        others -= self._running[replica.replica_id]
+        self._live_load.record(replica.replica_id, max(0, others))
+
     def _run_attempt(
         self,
         task: tasks.ItemTask,
@@ -169,6 +183,8 @@
         result = self._gateway.attempt(
             replica, route, _make_call(task.item, deadline), deadline
         )
+        if result.load is not None:
+            self._record_load(replica, result.load)
         outcome = _classify(result)
         _attempts_total.labels(outcome.value).inc()
         self._limits[replica.service].record_outcome(
--- a/src/lentildeal/_internal/reports/explanation.py
+++ b/src/lentildeal/_internal/reports/explanation.py
@@ -74,7 +74,8 @@
         wanted_id: Id of a request, job or item.
         lines: Lines of all logs.
     """
-    related = [line for line in lines if _is_about(line, wanted_id)]
+    ids = _find_ids(wanted_id, lines)
+    related = [line for line in lines if _is_about(line, ids)]
     job_ids = {line.fields.get('job') for line in related} - {None}
     job_lines = [
         line
@@ -84,11 +85,24 @@
     found = {(line.instance, line.position): line for line in related}
     found.update({(line.instance, line.position): line for line in job_lines})
     ordered = _sort(list(found.values()))
-    return Explanation(tuple(ordered), _find_cause(wanted_id, ordered))
+    return Explanation(tuple(ordered), _find_cause(wanted_id, ids, ordered))
 
 
-def _is_about(line: LogLine, wanted_id: str) -> bool:
-    return any(line.fields.get(field) == wanted_id for field in _ID_FIELDS)
+def _find_ids(
+    wanted_id: str, lines: typing.Iterable[LogLine]
+) -> frozenset[str]:
+    """Returns the id, and those of the scoring requests of an item."""
+    requests = {
+        line.fields['request']
+        for line in lines
+        if line.event in ('scoring_started', 'scoring_given_up')
+        and line.fields['item'] == wanted_id
+    }
+    return frozenset({wanted_id, *requests})
+
+
+def _is_about(line: LogLine, ids: frozenset[str]) -> bool:
+    return any(line.fields.get(field) in ids for field in _ID_FIELDS)
 
 
 def _sort(lines: list[LogLine]) -> list[LogLine]:
@@ -103,10 +117,12 @@
     return [line for _, line in sorted(keyed, key=lambda pair: pair[0])]
 
 
-def _find_cause(wanted_id: str, lines: list[LogLine]) -> str:
+def _find_cause(
+    wanted_id: str, ids: frozenset[str], lines: list[LogLine]
+) -> str:
     if not lines:
         return f'no line is about {wanted_id}'
-    id_lines = [line for line in lines if _is_about(line, wanted_id)]
+    id_lines = [line for line in lines if _is_about(line, ids)]
     last = {line.event: line for line in id_lines}
     if 'call_failed' in last:
         return _explain_failed_call(last['call_failed'], id_lines)
@@ -122,10 +138,10 @@
 
 def _list_failures(lines: typing.Iterable[LogLine]) -> list[str]:
     return [
-        f'{line.event} at {line.fields.get("replica")}:'
+        f'{line.event} at {line.fields.get("replica", "all replicas")}:'
         f' {line.fields.get("reason")}'
         for line in lines
-        if line.event in ('attempt_failed', 'item_moved')
+        if line.event in ('attempt_failed', 'item_moved', 'scoring_given_up')
     ]
 
 
@@ -158,6 +174,8 @@
             f'item ended as {fields["state"]} after {fields["attempts"]}'
             f' attempts and {fields["elapsed_ms"]} ms'
         )
+    elif any(line.event == 'scoring_started' for line in id_lines):
+        text = 'text of the item is complete and has no score in these logs'
     elif any(line.event == 'item_started' for line in id_lines):
         text = 'item started and has no result in these logs'
     elif any(line.event == 'job_opened' for line in lines):
--- a/src/lentildeal/_internal/scoring/calls.py
+++ b/src/lentildeal/_internal/scoring/calls.py
@@ -16,10 +16,12 @@
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
-# Share of a replica's slots that scoring calls leave to live calls. A scoring
-# call takes several times as long as a live call, which would otherwise wait
-# for it.
-LIVE_SLOT_SHARE = 1 / 3
+# Largest share of a replica's slots that scoring calls leave to live calls. A
+# scoring call takes several times as long as a live call, which would
+# otherwise wait for it.
+MAX_LIVE_SLOT_SHARE = 1 / 2
+# Time for which the number of other requests at a replica is remembered.
+LIVE_PEAK_S = 3.0
 FIRST_RETRY_DELAY_S = 0.05
 MAX_RETRY_DELAY_S = 0.8
 # Longest pause between single attempts at an unavailable service; its return
@@ -184,13 +186,41 @@
         self._limit = max(1.0, LIMIT_DECREASE * min(self._limit, running))
 
 
-def count_scoring_slots(slots: int) -> int:
+class LiveLoad:
+    """Highest recent number of other requests at each replica.
+
+    Replicas report their load with each answer. The daemon that scores does
+    not see the live calls of the others.
+    """
+
+    def __init__(
+        self, now: typing.Callable[[], float] = clock.monotonic_s
+    ) -> None:
+        self._now = now
+        self._peaks: dict[ids.ReplicaId, tuple[int, float]] = {}
+
+    def record(self, replica_id: ids.ReplicaId, others: int) -> None:
+        """Records the number of requests that are no scoring calls."""
+        if others >= self.peak(replica_id):
+            self._peaks[replica_id] = others, self._now()
+
+    def peak(self, replica_id: ids.ReplicaId) -> int:
+        """Returns the highest number of the last seconds."""
+        others, at_s = self._peaks.get(replica_id, (0, -math.inf))
+        return others if self._now() - at_s <= LIVE_PEAK_S else 0
+
+
+def count_scoring_slots(slots: int, live_peak: int = 0) -> int:
     """Slots of a replica that scoring calls may use.
 
+    One slot more than live calls used recently is left to them.
+
     Args:
         slots: Requests that the replica processes concurrently.
+        live_peak: Highest recent number of other requests.
     """
-    return max(1, slots - math.ceil(LIVE_SLOT_SHARE * slots))
+    reserved = min(live_peak + 1, math.ceil(MAX_LIVE_SLOT_SHARE * slots))
+    return max(1, slots - reserved)
 
 
 def order_key(
--- a/tests/unit/jobs/test_scoring.py
+++ b/tests/unit/jobs/test_scoring.py
@@ -7,6 +7,7 @@
 from eventlet import event
 import pytest
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.gateway import calls as gateway_calls
 from lentildeal._internal.gateway import plugin as gateway_plugin
 from lentildeal._internal.jobs import records
@@ -46,11 +47,11 @@
             found.is_stopped = True
             raise
 
-    def answer(self, attempt, status, proof='proof'):
+    def answer(self, attempt, status, proof='proof', load=None):
         response = gateway_calls.LiveResponse(status, (), b'', proof)
         attempt.end.send(
             gateway_plugin.AttemptResult(
-                attempt.replica, response, False, f'status {status}'
+                attempt.replica, response, False, f'status {status}', load
             )
         )
 
@@ -199,13 +200,20 @@
 def test_slots_stay_free_for_live_calls(log, gateway):
     # Guards against live calls that wait behind a step's scoring calls.
     submit_generated(log, count=30)
-    store_kernel.wait_for(lambda: len(gateway.attempts) == 8)
+    store_kernel.wait_for(lambda: len(gateway.attempts) == 10)
     eventlet.sleep(3 * runner_module.POLL_INTERVAL_S)
-    assert len(gateway.attempts) == 8
+    assert len(gateway.attempts) == 10
     by_replica = [a.replica.replica_id for a in gateway.attempts]
-    assert by_replica.count('s0') == by_replica.count('s1') == 4
-    gateway.answer(gateway.attempts[0], 200)
-    store_kernel.wait_for(lambda: len(gateway.attempts) == 9)
+    assert by_replica.count('s0') == by_replica.count('s1') == 5
+    # Five scoring calls and two live calls run at the replica.
+    load = platform_base.ReplicaLoad(6, 1, 6)
+    gateway.answer(gateway.attempts[0], 200, load=load)
+    gateway.answer(gateway.attempts[1], 200, load=load)
+    wait_for_results(log, 2)
+    eventlet.sleep(3 * runner_module.POLL_INTERVAL_S)
+    assert len(gateway.attempts) == 10
+    gateway.answer(gateway.attempts[2], 200, load=load)
+    store_kernel.wait_for(lambda: len(gateway.attempts) == 11)
 
 
 def test_end_of_a_job_stops_its_scoring_calls(log, gateway):
--- a/tests/unit/scoring/test_calls.py
+++ b/tests/unit/scoring/test_calls.py
@@ -49,15 +49,27 @@
     assert call.tried == {'r1', 'r2'}
 
 
-def test_slots_are_left_to_live_calls():
+@pytest.mark.parametrize(
+    'slots, live_peak, expected',
+    [(1, 0, 1), (2, 0, 1), (6, 0, 5), (6, 1, 4), (6, 9, 3), (8, 2, 5)],
+)
+def test_slots_are_left_to_live_calls(slots, live_peak, expected):
     # Guards against live calls that wait behind a step's scoring calls.
-    assert [calls.count_scoring_slots(n) for n in (1, 2, 3, 6, 8)] == [
-        1,
-        1,
-        2,
-        4,
-        5,
-    ]
+    assert calls.count_scoring_slots(slots, live_peak) == expected
+
+
+def test_peak_of_live_calls_is_remembered_for_seconds():
+    # Guards against slots that are taken between two bursts of live calls.
+    now_s = [0.0]
+    load = calls.LiveLoad(lambda: now_s[0])
+    load.record('r1', 3)
+    now_s[0] = 2.0
+    load.record('r1', 0)
+    assert load.peak('r1') == 3
+    assert load.peak('r2') == 0
+    now_s[0] = 3.1
+    load.record('r1', 1)
+    assert load.peak('r1') == 1
 
 
 def test_failing_service_gets_single_attempts_until_it_answers():
--- a/tests/unit/test_explanation.py
+++ b/tests/unit/test_explanation.py
@@ -83,3 +83,45 @@
     lines += make_log('a', ('item_moved', {'job': 'j', 'item': 'other'}))
     assert 'no line is about i' in explanation.explain('i', lines).cause
     assert '0 items ended' in explanation.explain('j', lines).cause
+
+
+SCORING = {'item': 'i', 'job': 'j', 'request': 'q'}
+
+
+def test_cause_of_an_item_without_score_names_the_scoring_attempts():
+    # The attempts carry the id of the scoring request and not of the item.
+    lines = make_log(
+        'a',
+        ('item_started', {'item': 'i', 'job': 'j', 'replica': 'r1'}),
+        ('scoring_started', {**SCORING, 'replica': 's1', 'attempt': 1}),
+        (
+            'attempt_failed',
+            {'request': 'q', 'replica': 's1', 'reason': 'status 500'},
+        ),
+        ('scoring_given_up', {**SCORING, 'errors': 1, 'reason': '500'}),
+        (
+            'item_ended',
+            {
+                'item': 'i',
+                'job': 'j',
+                'state': 'given_up',
+                'attempts': 1,
+                'elapsed_ms': 9,
+            },
+        ),
+    )
+    found = explanation.explain('i', lines)
+    assert len(found.lines) == 5
+    assert found.cause == (
+        'item ended as given_up after 1 attempts and 9 ms; attempt_failed at'
+        ' s1: status 500; scoring_given_up at all replicas: 500'
+    )
+
+
+def test_item_that_waits_for_its_score_says_so():
+    lines = make_log(
+        'a',
+        ('item_started', {'item': 'i', 'job': 'j', 'replica': 'r1'}),
+        ('scoring_started', {**SCORING, 'replica': 's1', 'attempt': 1}),
+    )
+    assert 'no score' in explanation.explain('i', lines).cause
