Bound what a daemon reads of one HTTP message

Bytes that are no answer may come without end, in a head or a body. Bytes after a complete response that were received together with it were dropped silently, so that the rest of them could precede the next answer on that connection.

network/bounded_reads.py limits the lines of a message between two parts of its body for responses and requests, and a connection on which more than the response was received is not used again. Bodies have limits for targets (2 MiB), store and services (4 MiB) and for all requests being received together (40 MiB, then 503 with Retry-After; 20 s for a body); an event has 256 KiB, and the event parser searches each byte once. A connection whose request body was not read completely is closed after the response.

--- a/src/lentildeal/_internal/models/outcomes.py
+++ b/src/lentildeal/_internal/models/outcomes.py
@@ -35,3 +35,4 @@
     LOG_DOWN = 'log_down'
     LEAVING = 'leaving'
     REPEATED_KEY = 'repeated_key'
+    OVERLOADED = 'overloaded'
--- a/src/lentildeal/_internal/network/http_client.py
+++ b/src/lentildeal/_internal/network/http_client.py
@@ -15,10 +15,16 @@
 import urllib3
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.network import bounded_reads
 from lentildeal._internal.utils import clock
 
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_BYTES = 64 * 1024
+# Largest body that is kept in memory. A page of the store has at most 1 MB of
+# records, and one record more.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# Size at which a batch ends although the sender has more.
+MAX_BATCH_BYTES = 256 * 1024
 # A read that takes longer than this has waited for the sender.
 BLOCKING_READ_S = 0.001
 MAX_CONNECTIONS_PER_HOST = 256
@@ -59,9 +65,21 @@
         """Reads the rest of the body.
 
         Raises:
-            exceptions.TruncatedAnswerError: The body is not complete.
+            exceptions.TruncatedAnswerError: The body is not complete, or too
+                large.
         """
-        return b''.join(self.iter_batches(0.0))
+        batches = []
+        size_bytes = 0
+        for batch in self.iter_batches(0.0):
+            size_bytes += len(batch)
+            if size_bytes > MAX_BODY_BYTES:
+                self.close()
+                raise exceptions.TruncatedAnswerError(
+                    'the body is larger than the limit of'
+                    f' {MAX_BODY_BYTES} bytes'
+                )
+            batches.append(batch)
+        return b''.join(batches)
 
     def iter_batches(self, batch_s: float) -> typing.Iterator[bytes]:
         """Yields the first bytes immediately and later ones in batches.
@@ -78,6 +96,7 @@
         """
         _check_body_is_delimited(self._response)
         batch: list[bytes] = []
+        size_bytes = 0
         chunks = self._response.stream(CHUNK_BYTES)
         is_complete = False
         try:
@@ -87,7 +106,13 @@
                 if chunk is None:
                     break
                 batch.append(chunk)
-                if clock.monotonic_s() - started_s > BLOCKING_READ_S:
+                size_bytes += len(chunk)
+                is_large = size_bytes >= MAX_BATCH_BYTES
+                if (
+                    is_large
+                    or clock.monotonic_s() - started_s > BLOCKING_READ_S
+                ):
+                    size_bytes = 0
                     yield b''.join(batch)
                     batch.clear()
                     if batch_s:
@@ -110,6 +135,10 @@
         self._response.close()
 
 
+class _BoundedPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = bounded_reads.BoundedConnection
+
+
 class HttpClient:
     """HTTP client with a connection pool."""
 
@@ -119,6 +148,7 @@
             maxsize=MAX_CONNECTIONS_PER_HOST,
             retries=False,
         )
+        self._pool.pool_classes_by_scheme = {'http': _BoundedPool}
 
     def request(
         self,
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import http.client
 import json
 import re
 import socket
@@ -15,6 +17,7 @@
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import outcomes
+from lentildeal._internal.network import bounded_reads
 from lentildeal._internal.network import listening
 from lentildeal._internal.network import problems
 from lentildeal._internal.settings import settings as settings_module
@@ -24,6 +27,14 @@
 KEEPALIVE_S = 75
 # Connections that may wait to be accepted.
 LISTEN_BACKLOG = 1024
+# Time for a complete body, in seconds. Callers of live calls wait for less.
+BODY_TIMEOUT_S = 20.0
+# Memory for all bodies that are being received; one of the largest size fits.
+MAX_INCOMPLETE_BODY_BYTES = 40 * 1024 * 1024
+BODY_PART_BYTES = 256 * 1024
+BODY_RETRY_AFTER_S = 0.5
+# Key of the function that closes the connection after the response.
+_CLOSE_KEY = 'lentildeal.close_connection'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -164,6 +175,63 @@
         raise exceptions.UnknownRouteError(f'no route for {method} {path}')
 
 
+class _BodyBudget:
+    """Memory for the bodies that are being received."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._available = limit_bytes
+
+    @contextlib.contextmanager
+    def reader(self) -> typing.Iterator[_BodyReader]:
+        """Makes the reader of one body; frees its bytes afterwards."""
+        reader = _BodyReader(self)
+        try:
+            yield reader
+        finally:
+            self._available += reader.size_bytes
+
+    def spend(self, size_bytes: int) -> None:
+        """Takes bytes of the budget.
+
+        Raises:
+            exceptions.NotRunError: The budget is used up.
+        """
+        if size_bytes > self._available:
+            raise exceptions.NotRunError(
+                'too many large bodies are being received',
+                cause=outcomes.Cause.OVERLOADED.value,
+                retry_after_s=BODY_RETRY_AFTER_S,
+                remedy='send the request again later',
+            )
+        self._available -= size_bytes
+
+
+class _BodyReader:
+    """Reads one body in parts, each of which takes from the budget."""
+
+    def __init__(self, budget: _BodyBudget) -> None:
+        self._budget = budget
+        self.size_bytes = 0
+
+    def read(self, source: typing.Any, size_bytes: int) -> bytes:
+        """Reads up to a number of bytes.
+
+        Raises:
+            exceptions.NotRunError: The budget is used up.
+        """
+        parts = []
+        remaining = size_bytes
+        while remaining > 0:
+            part = source.read(min(remaining, BODY_PART_BYTES))
+            if not part:
+                break
+            self._budget.spend(len(part))
+            self.size_bytes += len(part)
+            remaining -= len(part)
+            parts.append(part)
+        return b''.join(parts)
+
+
 class HttpServer:
     """Serves the routes of a router and counts in-flight requests."""
 
@@ -180,6 +248,7 @@
         self._is_closing = False
         self._is_refusing = False
         self._socket: typing.Optional[socket.socket] = None
+        self._body_budget = _BodyBudget(MAX_INCOMPLETE_BODY_BYTES)
 
     @property
     def is_closing(self) -> bool:
@@ -276,9 +345,29 @@
             return problems.to_response(error)
 
     def _read_body(self, environ) -> bytes:
+        is_complete = False
+        timeout = eventlet.Timeout(
+            BODY_TIMEOUT_S,
+            exceptions.BadRequestError(
+                f'the body was not complete within {BODY_TIMEOUT_S:.0f} s'
+            ),
+        )
+        try:
+            with timeout, self._body_budget.reader() as reader:
+                body = self._read_body_parts(environ, reader)
+            is_complete = True
+            return body
+        finally:
+            timeout.cancel()
+            if not is_complete:
+                # The server would read the rest, however long it is, before
+                # it reuses the connection.
+                environ[_CLOSE_KEY]()
+
+    def _read_body_parts(self, environ, reader: _BodyReader) -> bytes:
         limit = self._settings.limits.request_bytes
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
-            return self._read_chunked_body(environ, limit)
+            return self._read_chunked_body(environ, reader, limit)
         length = environ.get('CONTENT_LENGTH') or '0'
         if not length.isdigit():
             raise exceptions.BadRequestError(
@@ -288,17 +377,19 @@
             raise exceptions.RequestTooLargeError(
                 f'the body has {length} bytes; the limit is {limit}'
             )
-        body = environ['wsgi.input'].read(int(length))
+        body = reader.read(environ['wsgi.input'], int(length))
         if len(body) < int(length):
             raise exceptions.BadRequestError(
                 f'incomplete body: {len(body)} of {length} bytes'
             )
         return body
 
-    def _read_chunked_body(self, environ, limit: int) -> bytes:
+    def _read_chunked_body(
+        self, environ, reader: _BodyReader, limit: int
+    ) -> bytes:
         try:
-            body = environ['wsgi.input'].read(limit + 1)
-        except (OSError, ValueError) as error:
+            body = reader.read(environ['wsgi.input'], limit + 1)
+        except (OSError, ValueError, http.client.HTTPException) as error:
             raise exceptions.BadRequestError(
                 f'incomplete chunked body: {error}'
             ) from error
@@ -337,20 +428,36 @@
 
 
 class _Protocol(eventlet.wsgi.HttpProtocol):
-    """Counts requests and closes connections during a planned stop."""
+    """Counts requests, bounds reads, closes connections when needed."""
 
     def __init__(self, owner: HttpServer, conn_state, server) -> None:
         self._owner = owner
         self._is_counted = False
         super().__init__(conn_state, server)
 
+    def setup(self) -> None:
+        """Also bounds the lines that a client may send."""
+        super().setup()
+        self.rfile = bounded_reads.BoundedReader.wrap(self.rfile)
+
     def _read_request_line(self):
+        self.rfile.reset_line_count()
         line = super()._read_request_line()
         if line:
             self._is_counted = True
             self._owner.record_request_start()
         return line
 
+    def get_environ(self) -> dict:
+        """Also passes a function that closes the connection."""
+        return {
+            **super().get_environ(),
+            _CLOSE_KEY: self._close_after_response,
+        }
+
+    def _close_after_response(self) -> None:
+        self.close_connection = 1
+
     def parse_request(self) -> bool:
         """Also rejects requests with an ambiguous body length.
 
--- a/src/lentildeal/_internal/network/sse.py
+++ b/src/lentildeal/_internal/network/sse.py
@@ -13,7 +13,7 @@
 END_MARKER = '[DONE]'
 CONTENT_TYPE = 'text/event-stream'
 # An event of one token has about 50 bytes, so even batches are far smaller.
-MAX_EVENT_BYTES = 4 * 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,8 +67,13 @@
         ]
 
     def _split(self, data: bytes) -> list[bytes]:
-        self._buffer += data.replace(b'\r\n', b'\n')
-        *events, self._buffer = self._buffer.split(b'\n\n')
+        data = data.replace(b'\r\n', b'\n')
+        # The part that was searched before can end with half a separator.
+        if b'\n\n' in self._buffer[-1:] + data:
+            *events, self._buffer = (self._buffer + data).split(b'\n\n')
+        else:
+            self._buffer += data
+            events = []
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise exceptions.TruncatedAnswerError(
                 'a server-sent event is too long'
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -19,12 +19,16 @@
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
+from lentildeal._internal.network import bounded_reads
 from lentildeal._internal.utils import clock
 
 # Callers allow one second for a new connection. The latency of targets is one
 # to three milliseconds, which leaves time to retransmit the first packet.
 CONNECT_TIMEOUT_S = 1.0
 CHUNK_BYTES = 64 * 1024
+# Largest body that is kept in memory. Twenty of them take a third of the
+# memory of the smallest instances.
+MAX_BODY_BYTES = 2 * 1024 * 1024
 # Idle time of a connection whose target sends no Keep-Alive timeout. Timeouts
 # are whole seconds, so a target that sends none closes within a second.
 DEFAULT_IDLE_S = 0.8
@@ -106,9 +110,21 @@
         """Reads the rest of the body.
 
         Raises:
-            exceptions.TruncatedAnswerError: The body is not complete.
+            exceptions.TruncatedAnswerError: The body is not complete, or too
+                large.
         """
-        return b''.join(self.iter_chunks())
+        chunks = []
+        size_bytes = 0
+        for chunk in self.iter_chunks():
+            size_bytes += len(chunk)
+            if size_bytes > MAX_BODY_BYTES:
+                self.close()
+                raise exceptions.TruncatedAnswerError(
+                    f'{self._address}: the body is larger than the limit of'
+                    f' {MAX_BODY_BYTES} bytes'
+                )
+            chunks.append(chunk)
+        return b''.join(chunks)
 
     def iter_chunks(self) -> typing.Iterator[bytes]:
         """Yields the body as it arrives, then releases the connection.
@@ -249,6 +265,8 @@
         idle_s: float,
     ) -> None:
         """Keeps a connection whose last response was read completely."""
+        # A connection on which more than the response was received is not
+        # connected, see BoundedConnection.
         if idle_s <= 0 or not connection.is_connected:
             connection.close()
             return
@@ -288,7 +306,7 @@
         self, address: ids.ReplicaAddress, read_timeout_s: float
     ) -> urllib3.connection.HTTPConnection:
         host, _, port = address.rpartition(':')
-        connection = urllib3.connection.HTTPConnection(
+        connection = bounded_reads.BoundedConnection(
             host, int(port), timeout=min(CONNECT_TIMEOUT_S, read_timeout_s)
         )
         try:
--- /dev/null
+++ b/tests/lib/raw_server.py
@@ -0,0 +1,81 @@
+"""A server that answers with arbitrary bytes."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+import typing
+
+from tests.lib import keep_alive_server
+
+OK = b'HTTP/1.1 200 OK\r\n'
+# Ends a script that sends without end if the caller does not close.
+MAX_BYTES = 400 * 1024 * 1024
+
+
+class RawServer(keep_alive_server.KeepAliveServer):
+    """Sends the parts of a script as the answer to each request.
+
+    A part is bytes, or a number of seconds to wait.
+
+    Attributes:
+        sent_bytes: Bytes that the sockets have taken.
+        closed: Number of connections that the caller has closed.
+    """
+
+    def __init__(
+        self,
+        make_script: typing.Callable[
+            [bytes], typing.Iterable[typing.Union[bytes, float]]
+        ],
+    ) -> None:
+        self.sent_bytes = 0
+        self.closed = 0
+        self._make_script = make_script
+        super().__init__()
+
+    def answer(self, connection) -> None:
+        """See the base class."""
+        try:
+            with contextlib.closing(connection):
+                while True:
+                    request = self._read_head(connection)
+                    if not request:
+                        return
+                    self._send(connection, request)
+        finally:
+            self.closed += 1
+
+    def _read_head(self, connection) -> bytes:
+        data = b''
+        while b'\r\n\r\n' not in data:
+            part = connection.recv(65536)
+            if not part:
+                return b''
+            data += part
+        return data
+
+    def _send(self, connection, request: bytes) -> None:
+        for part in self._make_script(request):
+            if isinstance(part, bytes):
+                connection.sendall(part)
+                self.sent_bytes += len(part)
+                if self.sent_bytes > MAX_BYTES:
+                    return
+            else:
+                time.sleep(part)
+
+
+def repeat(*parts: typing.Union[bytes, float]) -> typing.Iterator:
+    """Yields parts without end."""
+    while True:
+        yield from parts
+
+
+def make_answer(body: bytes, request_id: str = '') -> bytes:
+    """Makes a complete answer, with a request id if given."""
+    head = OK + b'Keep-Alive: timeout=10\r\n'
+    if request_id:
+        head += f'Lentildeal-Request-Id: {request_id}\r\n'.encode()
+        head += b'Lentildeal-Response-Stamp: proof\r\n'
+    return head + f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
