Spread short items over replicas of any usual pace

Only items with 30 or more events left are sent by the finer comparison. Test of the pattern in test_scheduling.py.

--- a/src/lentildeal/_internal/jobs/scheduling.py
+++ b/src/lentildeal/_internal/jobs/scheduling.py
@@ -26,8 +26,8 @@
 # Paces that differ by less than this factor count as equal. Measurements vary,
 # and replicas of two speeds differ by 1.3.
 SIMILAR_PACE_FACTOR = 1.15
-# An item with at least this many events left is not used to find out whether a
-# replica is still as slow as it was.
+# An item with at least this many events left is long: it is sent to one of the
+# fastest replicas, and not to one whose pace has to be found out again.
 LONG_ITEM_EVENTS = 30
 # Number of events of an attempt before its pace is evaluated.
 MIN_PACE_EVENTS = 6
@@ -135,7 +135,7 @@
             candidate.is_avoided,
             candidate.is_on_trial,
             # Among replicas of a similar pace the least loaded wins.
-            _rank_pace(pace_s / best_pace_s, success_rate),
+            _rank_pace(pace_s / best_pace_s, success_rate, is_long),
             used,
             candidate.replica_id,
         )
@@ -143,14 +143,17 @@
     return min(suitable, key=cost)
 
 
-def _rank_pace(ratio: float, success_rate: float) -> float:
+def _rank_pace(ratio: float, success_rate: float, is_long: bool) -> float:
     """Rounds a pace relative to the best one; similar paces are equal.
 
-    The failure rate is known less precisely than the pace, and one failed
-    attempt must not divert load.
+    Short items are spread over replicas of any usual pace, which leaves slots
+    at the fastest ones to long items. The failure rate is known less precisely
+    than the pace, and one failed attempt must not divert load.
     """
-    rank = 1.0 if ratio < SIMILAR_PACE_FACTOR else round(ratio, 1)
-    return max(rank, round(ratio / success_rate, 0))
+    rank = round(ratio / success_rate, 0)
+    if is_long and ratio >= SIMILAR_PACE_FACTOR:
+        return max(rank, round(ratio, 1))
+    return rank
 
 
 def has_accepted_version(
--- a/tests/unit/jobs/test_scheduling.py
+++ b/tests/unit/jobs/test_scheduling.py
@@ -324,3 +324,17 @@
     assert find_faster_replica(0.049, [fast], expected_left=80.0) == 'fast'
     assert find_faster_replica(0.049, [fast], expected_left=20.0) is None
     assert find_faster_replica(0.041, [fast], expected_left=200.0) is None
+
+
+def test_short_items_leave_the_fastest_replicas_to_long_ones():
+    # Guards against a long item of the next step that finds them full.
+    fast = job_builders.make_candidate(
+        'fast', version=5, free_slots=2, pace_s=0.03
+    )
+    usual = job_builders.make_candidate(
+        'usual', version=5, free_slots=3, pace_s=0.038
+    )
+    for expected_left, expected in ((100.0, 'fast'), (10.0, 'usual')):
+        requirements = scheduling.Requirements(5, expected_left=expected_left)
+        found = scheduling.choose_replica(requirements, [fast, usual])
+        assert found.replica_id == expected
