Complete a resumed item of which nothing is left to generate

Every replica then answered its resumption with a complete stream without events, and without a version, which counted as broken. The item was tried 152 times in 5.5 s, at all 30 replicas, and each attempt made its replica avoided for 0.4 to 4 s, so that the items of both trainers waited. The text was complete all the time.

A resumed stream that ends without events completes the text; an event without a version is still an error. An item that breaks more than four attempts in a row without an event is retried with a delay and no longer makes replicas avoided, whatever its fault.

--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -140,7 +140,14 @@
             self.reason = f'response to another request, {info.request_id}'
             return AttemptOutcome.BROKEN
         if response.status == 200:
-            if info.version is None or info.version < self._min_version:
+            # A replica that has nothing left to generate names no version.
+            is_resumed = self._last_event_id is not None
+            has_version = info.version is not None
+            if (
+                not has_version
+                and not is_resumed
+                or (has_version and info.version < self._min_version)
+            ):
                 self.reason = f'version {info.version} is too old'
                 return AttemptOutcome.BROKEN
             self._version = info.version
@@ -177,6 +184,10 @@
         if changed is not None:
             self._version = changed
         self._check_order(event)
+        if self._version is None:
+            raise exceptions.TruncatedAnswerError(
+                f'event {event.event_id} has no version'
+            )
         now_s = clock.monotonic_s()
         if self.first_event_s is None:
             self.first_event_s = now_s
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -408,7 +408,9 @@
             self._replica_tracker.record_refusal(replica_id)
         elif outcome is attempts.AttemptOutcome.BROKEN:
             task.excluded = {replica_id}
-            self._replica_tracker.record_failure(replica_id)
+            task.record_broken(attempt.run_events)
+            if not task.is_suspect:
+                self._replica_tracker.record_failure(replica_id)
         else:
             # Attempts are limited, so each one uses another replica.
             task.excluded.add(replica_id)
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -11,6 +11,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 from lentildeal._internal.routing import failure_rate
+from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
 # Age after which the load that a replica reported is stale.
@@ -20,6 +21,12 @@
 # A replica that refused a request is full or loads weights, which takes a
 # second.
 REFUSAL_AVOIDANCE_S = 0.25
+# Attempts of an item that may break in a row, each at another replica, before
+# the item counts as the cause.
+MAX_BROKEN_IN_ROW = 4
+# Delays between the attempts of such an item.
+FIRST_SUSPECT_DELAY_S = 0.1
+MAX_SUSPECT_DELAY_S = 1.0
 
 
 class ItemTask:
@@ -48,15 +55,35 @@
         self.is_generated = False
         self.attempt_count = 0
         self.failures = 0
+        self.broken_in_row = 0
         self.moves = 0
         self.excluded: set[ids.ReplicaId] = set()
         self.created_s = clock.monotonic_s()
+        self._retry_at_s = 0.0
+        self._retry_delays = backoff.Backoff(
+            FIRST_SUSPECT_DELAY_S, MAX_SUSPECT_DELAY_S
+        )
         self.saved_events = len(progress.events)
 
     @property
     def is_waiting(self) -> bool:
         """Whether the item waits for a replica."""
-        return not (self.attempt or self.is_done or self.is_generated)
+        if self.attempt or self.is_done or self.is_generated:
+            return False
+        return clock.monotonic_s() >= self._retry_at_s
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the item and not its replicas seems to break attempts."""
+        return self.broken_in_row > MAX_BROKEN_IN_ROW
+
+    def record_broken(self, events: int) -> None:
+        """Records a broken attempt and the events that it made."""
+        self.broken_in_row = 0 if events else self.broken_in_row + 1
+        if self.is_suspect:
+            self._retry_at_s = (
+                clock.monotonic_s() + self._retry_delays.next_delay_s()
+            )
 
     @property
     def is_unscored(self) -> bool:
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -58,6 +58,9 @@
     def complete(self):
         self._end.send(attempts.AttemptOutcome.COMPLETE)
 
+    def break_off(self):
+        self._end.send(attempts.AttemptOutcome.BROKEN)
+
 
 @pytest.fixture
 def engines(monkeypatch):
@@ -149,3 +152,29 @@
     eventlet.sleep(2 * runner_module.POLL_INTERVAL_S)
     assert engines.started['r2'][1] == slow
     assert slow not in engines.started['r1'][1:]
+
+
+def test_item_that_breaks_everywhere_does_not_stop_all_replicas(
+    kernel, log, engines
+):
+    """Guards against an item whose attempts take every replica out of use.
+
+    Each broken attempt makes its replica avoided, so that other items wait.
+    """
+    add = kernel.plugins['directory'].replicas.apply
+    for number in range(12):
+        replica = job_builders.make_replica(f'r{number}', slots=1)
+        add(deployment.ReplicaChange(replica.replica_id, replica))
+    submit(log, 'bad', ('bad',))
+    broken = 0
+    with eventlet.Timeout(2.0, False):
+        while True:
+            store_kernel.wait_for(lambda: 'bad' in engines.runs)
+            engines.runs.pop('bad').break_off()
+            broken += 1
+    # Without a delay an attempt takes milliseconds.
+    assert 5 <= broken <= 12
+    submit(log, 'good', ('i0', 'i1', 'i2', 'i3'))
+    store_kernel.wait_for(
+        lambda: {'i0', 'i1', 'i2', 'i3'} <= set(engines.runs)
+    )
