--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -160,7 +160,11 @@
             if report.is_busy or (is_ordered and not deadline.has_passed):
                 eventlet.sleep(POLL_S)
                 continue
-            is_ordered = self._order(service, replica, load, report)
+            outcome = self._order(service, replica, load, report)
+            if outcome is platform_base.OrderOutcome.ALREADY_LOADED:
+                self._confirm(load)
+                return
+            is_ordered = outcome is platform_base.OrderOutcome.ACCEPTED
             if is_ordered:
                 pending = self._pending[load.replica_id]
                 pending.ordered_at_s = clock.monotonic_s()
@@ -174,13 +178,13 @@
         replica: deployment.Replica,
         load: rotation.PlannedLoad,
         report: platform_base.ReplicaReport,
-    ) -> bool:
-        """Sends an order; returns whether it is being carried out."""
+    ) -> typing.Optional[platform_base.OrderOutcome]:
+        """Sends an order; returns its outcome, None if it was not sent."""
         lease_name = lease_manager.orders_lease_name(service)
         term = self._leases.find_term(lease_name)
         # The lease may have expired while the report was fetched.
         if term is None or not self._may_order(service):
-            return False
+            return None
         order = platform_base.VersionOrder(
             load.model,
             load.version,
@@ -210,10 +214,7 @@
             self._leases.resign(
                 lease_name, 'a replica saw a newer fencing token'
             )
-        return outcome in (
-            platform_base.OrderOutcome.ACCEPTED,
-            platform_base.OrderOutcome.ALREADY_LOADED,
-        )
+        return outcome
 
     def _confirm(self, load: rotation.PlannedLoad) -> None:
         pending = self._pending.get(load.replica_id)
