Expect items far beyond their estimate to run as long again

A straggler was expected to make half as many events again, so it was moved to a replica that is 1.3 times faster only near its end. Lengths have a tail of five times the usual one. Test in test_scheduling.py.

--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -21,6 +21,8 @@
 # A replica that refused a request is full or loads weights, which takes a
 # second.
 REFUSAL_AVOIDANCE_S = 0.25
+# An item is a straggler if it exceeds its estimate by this factor.
+STRAGGLER_FACTOR = 2.0
 # Attempts of an item that may break in a row, each at another replica, before
 # the item counts as the cause.
 MAX_BROKEN_IN_ROW = 4
@@ -95,12 +97,16 @@
         """Estimated number of remaining events.
 
         The length of responses has a long tail: an item that exceeds its
-        estimate is expected to make half as many events again.
+        estimate is expected to make half as many events again, and as many
+        again if it exceeds it by far.
         """
         made = len(self.progress.events)
         if self.attempt is not None:
             made = self.attempt.event_count
-        return max(self.expected_events - made, made / 2)
+        is_straggler = made > STRAGGLER_FACTOR * self.expected_events
+        return max(
+            self.expected_events - made, made if is_straggler else made / 2
+        )
 
     def make_requirements(
         self, is_single_version: bool
--- a/tests/unit/jobs/test_scheduling.py
+++ b/tests/unit/jobs/test_scheduling.py
@@ -5,6 +5,7 @@
 
 from lentildeal._internal.jobs import scheduling
 from lentildeal._internal.jobs import tasks
+from lentildeal._internal.models import jobs
 from tests.lib import job_builders
 
 REQUIREMENTS = scheduling.Requirements(min_version=5)
@@ -338,3 +339,20 @@
         requirements = scheduling.Requirements(5, expected_left=expected_left)
         found = scheduling.choose_replica(requirements, [fast, usual])
         assert found.replica_id == expected
+
+
+def test_item_far_beyond_its_estimate_is_expected_to_run_long():
+    # Guards against a straggler that stays at a slightly slower replica.
+    task = tasks.ItemTask(
+        None,
+        0,
+        job_builders.make_item(),
+        jobs.Progress(('text',) * 70, '70', (1,)),
+        expected_events=25.0,
+        is_resubmitted=False,
+    )
+    assert task.expected_left == 70
+    task.expected_events = 60.0
+    assert task.expected_left == 35
+    task.expected_events = 140.0
+    assert task.expected_left == 70
