Match answers to reports and orders by request id; bound attempts as a whole

A late copy of an answer that arrives after the next request was sent could be taken for the answer to a later report or order: these calls named no request id. They do now, and an answer that names another one is an error. Answers without an id are accepted as before.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -166,7 +166,7 @@
         self._running[replica_id] = self._running.get(replica_id, 0) + 1
         self._health.record_start(replica.address)
         try:
-            result = self._send(replica, route, call, deadline)
+            result = self._send_in_time(replica, route, call, deadline)
         finally:
             self._running[replica_id] -= 1
             self._health.record_end(replica.address)
@@ -182,6 +182,30 @@
             )
         return result
 
+    def _send_in_time(
+        self,
+        replica: deployment.Replica,
+        route: deployment.Route,
+        call: calls.LiveCall,
+        deadline: clock.Deadline,
+    ) -> AttemptResult:
+        """Limits the time of an attempt as a whole.
+
+        The timeout of each read is not enough: a replica that sends a byte now
+        and then would hold the attempt without end.
+        """
+        timeout = eventlet.Timeout(max(0.001, deadline.remaining_s))
+        try:
+            return self._send(replica, route, call, deadline)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            return AttemptResult(
+                replica, None, False, 'no complete response in time'
+            )
+        finally:
+            timeout.cancel()
+
     def _send(
         self,
         replica: deployment.Replica,
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -4,6 +4,7 @@
 
 import json
 import typing
+import uuid
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
@@ -141,13 +142,17 @@
         path: str,
         value: typing.Any = None,
     ) -> http_client.HttpResponse:
-        headers = {names.EXPECTED_REPLICA: replica.replica_id}
+        request_id = uuid.uuid4().hex
+        headers = {
+            names.EXPECTED_REPLICA: replica.replica_id,
+            names.REQUEST_ID: request_id,
+        }
         body = None
         if value is not None:
             body = json.dumps(value).encode()
             headers['Content-Type'] = 'application/json'
         try:
-            return self._client.request(
+            response = self._client.request(
                 method,
                 f'http://{replica.address}{path}',
                 timeout_s=CONTROL_TIMEOUT_S,
@@ -159,6 +164,14 @@
             )
         except (exceptions.NotRunError, exceptions.MayHaveRunError) as error:
             raise exceptions.PlatformError(error.message) from error
+        answered_id = response.headers.get(names.REQUEST_ID.lower())
+        if answered_id not in (None, request_id):
+            # A late copy of an earlier answer; its connection has more.
+            self._client.close_idle()
+            raise exceptions.PlatformError(
+                f'{replica.replica_id} answered another request to {path}'
+            )
+        return response
 
 
 def _decode_replica_change(
--- a/tests/functional/test_endless_bytes.py
+++ b/tests/functional/test_endless_bytes.py
@@ -267,3 +267,33 @@
     assert 20 * target_connections.MAX_BODY_BYTES <= 40 * 1024 * 1024
     assert http_server.MAX_INCOMPLETE_BODY_BYTES <= 40 * 1024 * 1024
     assert bounded_reads.MAX_LINE_BYTES <= 64 * 1024
+
+
+def test_replica_that_sends_a_byte_now_and_then_is_not_waited_for(launcher):
+    """Guards against a call, or a score, that never ends.
+
+    Each read gets a byte in time, so that only the time of the whole attempt
+    shows that the replica is stalled.
+    """
+    world = platform_world.World(launcher, daemons=1)
+    sound = world.plain
+    server = raw_server.RawServer(
+        lambda _: itertools.chain(
+            (raw_server.OK + b'X: ',), raw_server.repeat(b'y', 0.1)
+        )
+    )
+    with contextlib.closing(server):
+        world.write_replica('a0', 'desk', server.address, {})
+        job = platform_world.make_scored_job([f'i{n}' for n in range(6)])
+        started_s = time.monotonic()
+        assert platform_world.submit(world.daemons[0], 'job', job) == 202
+        results = world.read_all(world.daemons[0], 'job')
+        # Half of the scoring requests are hedged after 0.4 s.
+        assert time.monotonic() - started_s < 4.0
+        assert {r['State'] for r in results} == {'done'}
+        scored = {run['id'] for run in sound.read_journal()['runs']}
+        assert scored == {f'score-i{n}' for n in range(6)}
+        processes.wait_for(
+            lambda: server.closed == server.connections,
+            'the stalled attempts end',
+        )
--- /dev/null
+++ b/tests/unit/platform/test_adapter.py
@@ -0,0 +1,72 @@
+"""Control calls to replicas that answer with given bytes."""
+
+import contextlib
+import itertools
+import json
+import re
+import types
+
+import eventlet
+import pytest
+
+from lentildeal._internal.adapters import platform_base
+from lentildeal._internal import exceptions
+from lentildeal._internal.platform import adapter
+from tests.lib import job_builders
+from tests.lib import raw_server
+
+REQUEST_ID = re.compile(rb'lentildeal-request-id: *(\w+)', re.IGNORECASE)
+
+
+def make_report(request, order_count):
+    body = json.dumps(
+        {'Models': [], 'Busy': False, 'Sequence': order_count}
+    ).encode()
+    return raw_server.make_answer(body, REQUEST_ID.search(request)[1].decode())
+
+
+@pytest.fixture
+def platform():
+    return adapter.ExternalPlatform(
+        types.SimpleNamespace(store=types.SimpleNamespace(address='x'))
+    )
+
+
+def get_report(platform, server):
+    replica = job_builders.make_replica(address=server.address)
+    return platform.get_report(replica)
+
+
+def test_late_copy_of_a_report_is_not_taken_for_the_next_one(platform):
+    """Guards against an order that expects an outdated number of orders.
+
+    The copy arrives when the next request was sent, so that only its id shows
+    that it is the answer to another request.
+    """
+    counts = itertools.count()
+    copies = []
+
+    def make_script(request):
+        answer = make_report(request, next(counts))
+        copies.append(answer)
+        return (copies[0] + answer,) if len(copies) == 2 else (answer,)
+
+    server = raw_server.RawServer(make_script)
+    with contextlib.closing(server):
+        assert get_report(platform, server).order_count == 0
+        with pytest.raises(exceptions.PlatformError, match='another request'):
+            get_report(platform, server)
+        eventlet.sleep(0.05)
+        assert get_report(platform, server).order_count == 2
+
+
+def test_order_with_the_answer_to_another_request_has_no_outcome(platform):
+    # Guards against an order that counts as accepted by a late answer.
+    server = raw_server.RawServer(
+        lambda _: (raw_server.make_answer(b'', 'other'),)
+    )
+    order = platform_base.VersionOrder('m', 2, True, 'n0', 1, 0)
+    with contextlib.closing(server):
+        replica = job_builders.make_replica(address=server.address)
+        with pytest.raises(exceptions.PlatformError):
+            platform.order_version(replica, order)
