Answer the first request of a connection that a planned stop finds

A closed listener also stayed open, as accept() still waited on it, so that late callers were reset instead of refused.

The listener accepts what waits, is shut down and then closed; connections that were accepted in the last second get an answer to their first request (503, nothing ran).

--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -12,6 +12,8 @@
 import urllib.parse
 
 import eventlet
+import eventlet.event
+import eventlet.patcher
 import eventlet.wsgi
 from loguru import logger
 
@@ -21,6 +23,7 @@
 from lentildeal._internal.network import listening
 from lentildeal._internal.network import problems
 from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import clock
 
 JSON_TYPE = 'application/json'
 # Idle keep-alive connections are closed after this time, in seconds.
@@ -33,6 +36,11 @@
 MAX_INCOMPLETE_BODY_BYTES = 40 * 1024 * 1024
 BODY_PART_BYTES = 256 * 1024
 BODY_RETRY_AFTER_S = 0.5
+# Time in which a client that has connected sends its first request.
+FIRST_REQUEST_S = 1.0
+STOP_POLL_S = 0.02
+# The patched function allows no second reader of a socket.
+_select = eventlet.patcher.original('select').select
 # Key of the function that closes the connection after the response.
 _CLOSE_KEY = 'lentildeal.close_connection'
 
@@ -232,6 +240,41 @@
         return b''.join(parts)
 
 
+class _Listener:
+    """Listening socket that can be closed without closing connections.
+
+    If its socket failed, the server of eventlet would close all connections
+    without a request, also those whose first request is on its way.
+    """
+
+    def __init__(self, listening_socket: typing.Any) -> None:
+        self._socket = listening_socket
+        self._is_stopped = False
+        self._never = eventlet.event.Event()
+
+    def __getattr__(self, name: str) -> typing.Any:
+        return getattr(self._socket, name)
+
+    def accept(self) -> tuple:
+        """Accepts a connection; never returns after ``stop``."""
+        while not self._is_stopped:
+            try:
+                return self._socket.accept()
+            except OSError:
+                if not self._is_stopped:
+                    raise
+        return self._never.wait()
+
+    def stop(self) -> None:
+        """Accepts what waits to be accepted, then closes the socket."""
+        while _select([self._socket.fileno()], [], [], 0)[0]:
+            eventlet.sleep(0)
+        self._is_stopped = True
+        # A close alone leaves the socket open while accept() waits on it.
+        self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+
 class HttpServer:
     """Serves the routes of a router and counts in-flight requests."""
 
@@ -247,7 +290,9 @@
         self._in_flight = 0
         self._is_closing = False
         self._is_refusing = False
-        self._socket: typing.Optional[socket.socket] = None
+        self._listener: typing.Optional[_Listener] = None
+        # Accepted connections without a request, and when they were accepted.
+        self._new_connections: dict[_Protocol, float] = {}
         self._body_budget = _BodyBudget(MAX_INCOMPLETE_BODY_BYTES)
 
     @property
@@ -265,10 +310,12 @@
 
     def start(self) -> None:
         """Starts listening and serves requests in a green thread."""
-        self._socket = listening.listen(self._address, LISTEN_BACKLOG)
+        self._listener = _Listener(
+            listening.listen(self._address, LISTEN_BACKLOG)
+        )
         eventlet.spawn_n(
             eventlet.wsgi.server,
-            self._socket,
+            self._listener,
             self._serve,
             log_output=False,
             # The default buffers chunks until there are 4,096 bytes.
@@ -302,10 +349,36 @@
         """Records that a response was written or the client is gone."""
         self._in_flight -= 1
 
+    def record_connection(self, connection: _Protocol) -> None:
+        """Records an accepted connection."""
+        self._new_connections[connection] = clock.monotonic_s()
+
+    def forget_connection(self, connection: _Protocol) -> None:
+        """Records that a connection sent a request or was closed."""
+        self._new_connections.pop(connection, None)
+
     def stop(self) -> None:
-        """Closes the listener and idle connections."""
-        if self._socket is not None:
-            self._socket.close()
+        """Closes the listener and serves what was accepted before.
+
+        A client that has just connected gets an answer to its first request.
+        """
+        if self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        listener.stop()
+        deadline = clock.Deadline(FIRST_REQUEST_S)
+        while True:
+            # Threads of connections that were accepted last start meanwhile.
+            eventlet.sleep(STOP_POLL_S)
+            if deadline.has_passed or not self._has_expected_request():
+                return
+
+    def _has_expected_request(self) -> bool:
+        oldest_s = clock.monotonic_s() - FIRST_REQUEST_S
+        return self._in_flight > 0 or any(
+            accepted_s > oldest_s
+            for accepted_s in self._new_connections.values()
+        )
 
     def _serve(self, environ, start_response):
         response = self._respond(environ)
@@ -438,16 +511,23 @@
     def setup(self) -> None:
         """Also bounds the lines that a client may send."""
         super().setup()
+        self._owner.record_connection(self)
         self.rfile = bounded_reads.BoundedReader.wrap(self.rfile)
 
     def _read_request_line(self):
         self.rfile.reset_line_count()
         line = super()._read_request_line()
         if line:
+            self._owner.forget_connection(self)
             self._is_counted = True
             self._owner.record_request_start()
         return line
 
+    def finish(self) -> None:
+        """Also forgets the connection."""
+        self._owner.forget_connection(self)
+        super().finish()
+
     def get_environ(self) -> dict:
         """Also passes a function that closes the connection."""
         return {
