--- a/tests/lib/raw_server.py
+++ b/tests/lib/raw_server.py
@@ -16,7 +16,7 @@
 class RawServer(keep_alive_server.KeepAliveServer):
     """Sends the parts of a script as the answer to each request.
 
-    A part is bytes, or a number of seconds to wait.
+    A part is bytes, a number of seconds to wait, or None to close.
 
     Attributes:
         sent_bytes: Bytes that the sockets have taken.
@@ -26,7 +26,7 @@
     def __init__(
         self,
         make_script: typing.Callable[
-            [bytes], typing.Iterable[typing.Union[bytes, float]]
+            [bytes], typing.Iterable[typing.Union[bytes, float, None]]
         ],
     ) -> None:
         self.sent_bytes = 0
@@ -42,7 +42,8 @@
                     request = self._read_head(connection)
                     if not request:
                         return
-                    self._send(connection, request)
+                    if not self._send(connection, request):
+                        return
         finally:
             self.closed += 1
 
@@ -55,15 +56,19 @@
             data += part
         return data
 
-    def _send(self, connection, request: bytes) -> None:
+    def _send(self, connection, request: bytes) -> bool:
+        """Sends the answer; returns whether the connection stays open."""
         for part in self._make_script(request):
+            if part is None:
+                return False
             if isinstance(part, bytes):
                 connection.sendall(part)
                 self.sent_bytes += len(part)
                 if self.sent_bytes > MAX_BYTES:
-                    return
+                    return False
             else:
                 time.sleep(part)
+        return True
 
 
 def repeat(*parts: typing.Union[bytes, float]) -> typing.Iterator:
--- a/tests/unit/jobs/test_attempts.py
+++ b/tests/unit/jobs/test_attempts.py
@@ -26,7 +26,7 @@
 
 def run(answer, progress):
     """Runs an item; returns the outcome and the attempt."""
-    server = raw_server.RawServer(lambda _: (answer,))
+    server = raw_server.RawServer(lambda _: (answer, None))
     with contextlib.closing(server):
         attempt = attempts.Attempt(
             Platform(),
@@ -93,3 +93,31 @@
     outcome, attempt = run(HEAD + VERSION + b'\r\n' + event + END, SAVED)
     assert outcome is attempts.AttemptOutcome.COMPLETE
     assert attempt.progress.events == ('a', 'b', 'c')
+
+
+@pytest.mark.parametrize('is_sound', [True, False])
+def test_progress_is_a_complete_event_and_not_a_byte(is_sound):
+    """Guards against a stalled stream that a byte now and then keeps alive.
+
+    The runner ends an attempt by the time since ``last_received_s``. A slow
+    stream whose events are complete is not affected.
+    """
+    head = HEAD + VERSION + b'\r\n' + chunk(b'id: 0\ndata: a\n\n')
+    parts = [head]
+    for number in range(1, 7):
+        event = b'id: %d\ndata: b\n\n' % number if is_sound else b'i'
+        parts += [0.05, chunk(event)]
+    server = raw_server.RawServer(lambda _: (*parts, None))
+    with contextlib.closing(server):
+        attempt = attempts.Attempt(
+            Platform(),
+            target_connections.TargetConnections(),
+            job_builders.make_replica(address=server.address),
+            jobs.Progress(),
+            1,
+            lambda load: None,
+        )
+        attempt.run('club.example', job_builders.make_item())
+    assert attempt.run_events == (7 if is_sound else 1)
+    has_advanced = attempt.last_received_s > attempt.first_event_s
+    assert has_advanced == is_sound
