--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -130,15 +130,15 @@
         is_not_run: Whether the replica did not run the request.
         version: Version of the weights, None if not reported.
         load: Load of the replica, None if not reported.
-        proof: Text by which the caller can verify that the replica made the
-            response, None if not reported.
+        signature: Text by which the caller can verify that the replica
+            made the response, None if not reported.
     """
 
     request_id: typing.Optional[str]
     is_not_run: bool
     version: typing.Optional[ids.Version]
     load: typing.Optional[ReplicaLoad]
-    proof: typing.Optional[str] = None
+    signature: typing.Optional[str] = None
 
 
 class OrderOutcome(str, enum.Enum):
--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -61,13 +61,13 @@
         status: HTTP status.
         headers: Headers to forward.
         body: Complete body, or its parts as they arrive.
-        proof: See ``platform_base.ResponseInfo``.
+        signature: See ``platform_base.ResponseInfo``.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: typing.Union[bytes, typing.Iterator[bytes]]
-    proof: typing.Optional[str] = None
+    signature: typing.Optional[str] = None
 
 
 def drop_connection_headers(
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -280,7 +280,7 @@
         else:
             body = response.read()
         live_response = calls.LiveResponse(
-            response.status, headers, body, info.proof
+            response.status, headers, body, info.signature
         )
         return AttemptResult(
             replica,
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -85,7 +85,7 @@
         versions: Versions that generated the text.
         offset: Offset of the text, -1 without one.
         size_bytes: Size of the record with the text.
-        score: Proof of the answer that scored the text, empty without one.
+        score: Signature of the answer that scored the text, empty without one.
     """
 
     job_id: ids.JobId
--- a/src/lentildeal/_internal/jobs/scoring.py
+++ b/src/lentildeal/_internal/jobs/scoring.py
@@ -208,7 +208,7 @@
                 task,
                 jobs.ResultState.DONE,
                 task.progress,
-                result.response.proof,
+                result.response.signature,
             )
         elif scoring.call.is_exhausted:
             events.emit(
@@ -258,8 +258,8 @@
     if response is None:
         return calls.AttemptOutcome.UNAVAILABLE
     if 200 <= response.status < 300:
-        # A score is the proof of the answer.
-        if response.proof:
+        # A score is the signature of the answer.
+        if response.signature:
             return calls.AttemptOutcome.SCORED
         return calls.AttemptOutcome.UNAVAILABLE
     return calls.AttemptOutcome.ERROR
--- a/src/lentildeal/_internal/models/jobs.py
+++ b/src/lentildeal/_internal/models/jobs.py
@@ -121,7 +121,7 @@
         state: Whether the text is complete.
         text: Text of a complete item.
         versions: Versions that generated the text, ascending.
-        score: Proof of the answer that scored the text, empty without one.
+        score: Signature of the answer that scored the text, empty without one.
     """
 
     item_id: ids.ItemId
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import http.client
 import json
@@ -12,16 +11,15 @@
 import urllib.parse
 
 import eventlet
-import eventlet.event
-import eventlet.patcher
 import eventlet.wsgi
 from loguru import logger
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import outcomes
-from lentildeal._internal.network import bounded_reads
+from lentildeal._internal.network import http_protocol
 from lentildeal._internal.network import listening
 from lentildeal._internal.network import problems
+from lentildeal._internal.network import request_bodies
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
 
@@ -34,15 +32,9 @@
 BODY_TIMEOUT_S = 20.0
 # Memory for all bodies that are being received; one of the largest size fits.
 MAX_INCOMPLETE_BODY_BYTES = 40 * 1024 * 1024
-BODY_PART_BYTES = 256 * 1024
-BODY_RETRY_AFTER_S = 0.5
 # Time in which a client that has connected sends its first request.
 FIRST_REQUEST_S = 1.0
 STOP_POLL_S = 0.02
-# The patched function allows no second reader of a socket.
-_select = eventlet.patcher.original('select').select
-# Key of the function that closes the connection after the response.
-_CLOSE_KEY = 'lentildeal.close_connection'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -183,98 +175,6 @@
         raise exceptions.UnknownRouteError(f'no route for {method} {path}')
 
 
-class _BodyBudget:
-    """Memory for the bodies that are being received."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._available = limit_bytes
-
-    @contextlib.contextmanager
-    def reader(self) -> typing.Iterator[_BodyReader]:
-        """Makes the reader of one body; frees its bytes afterwards."""
-        reader = _BodyReader(self)
-        try:
-            yield reader
-        finally:
-            self._available += reader.size_bytes
-
-    def spend(self, size_bytes: int) -> None:
-        """Takes bytes of the budget.
-
-        Raises:
-            exceptions.NotRunError: The budget is used up.
-        """
-        if size_bytes > self._available:
-            raise exceptions.NotRunError(
-                'too many large bodies are being received',
-                cause=outcomes.Cause.OVERLOADED.value,
-                retry_after_s=BODY_RETRY_AFTER_S,
-                remedy='send the request again later',
-            )
-        self._available -= size_bytes
-
-
-class _BodyReader:
-    """Reads one body in parts, each of which takes from the budget."""
-
-    def __init__(self, budget: _BodyBudget) -> None:
-        self._budget = budget
-        self.size_bytes = 0
-
-    def read(self, source: typing.Any, size_bytes: int) -> bytes:
-        """Reads up to a number of bytes.
-
-        Raises:
-            exceptions.NotRunError: The budget is used up.
-        """
-        parts = []
-        remaining = size_bytes
-        while remaining > 0:
-            part = source.read(min(remaining, BODY_PART_BYTES))
-            if not part:
-                break
-            self._budget.spend(len(part))
-            self.size_bytes += len(part)
-            remaining -= len(part)
-            parts.append(part)
-        return b''.join(parts)
-
-
-class _Listener:
-    """Listening socket that can be closed without closing connections.
-
-    If its socket failed, the server of eventlet would close all connections
-    without a request, also those whose first request is on its way.
-    """
-
-    def __init__(self, listening_socket: typing.Any) -> None:
-        self._socket = listening_socket
-        self._is_stopped = False
-        self._never = eventlet.event.Event()
-
-    def __getattr__(self, name: str) -> typing.Any:
-        return getattr(self._socket, name)
-
-    def accept(self) -> tuple:
-        """Accepts a connection; never returns after ``stop``."""
-        while not self._is_stopped:
-            try:
-                return self._socket.accept()
-            except OSError:
-                if not self._is_stopped:
-                    raise
-        return self._never.wait()
-
-    def stop(self) -> None:
-        """Accepts what waits to be accepted, then closes the socket."""
-        while _select([self._socket.fileno()], [], [], 0)[0]:
-            eventlet.sleep(0)
-        self._is_stopped = True
-        # A close alone leaves the socket open while accept() waits on it.
-        self._socket.shutdown(socket.SHUT_RDWR)
-        self._socket.close()
-
-
 class HttpServer:
     """Serves the routes of a router and counts in-flight requests."""
 
@@ -290,10 +190,12 @@
         self._in_flight = 0
         self._is_closing = False
         self._is_refusing = False
-        self._listener: typing.Optional[_Listener] = None
+        self._listener: typing.Optional[listening.Listener] = None
         # Accepted connections without a request, and when they were accepted.
-        self._new_connections: dict[_Protocol, float] = {}
-        self._body_budget = _BodyBudget(MAX_INCOMPLETE_BODY_BYTES)
+        self._new_connections: dict[http_protocol.Protocol, float] = {}
+        self._body_budget = request_bodies.BodyBudget(
+            MAX_INCOMPLETE_BODY_BYTES
+        )
 
     @property
     def is_closing(self) -> bool:
@@ -310,7 +212,7 @@
 
     def start(self) -> None:
         """Starts listening and serves requests in a green thread."""
-        self._listener = _Listener(
+        self._listener = listening.Listener(
             listening.listen(self._address, LISTEN_BACKLOG)
         )
         eventlet.spawn_n(
@@ -349,11 +251,11 @@
         """Records that a response was written or the client is gone."""
         self._in_flight -= 1
 
-    def record_connection(self, connection: _Protocol) -> None:
+    def record_connection(self, connection: http_protocol.Protocol) -> None:
         """Records an accepted connection."""
         self._new_connections[connection] = clock.monotonic_s()
 
-    def forget_connection(self, connection: _Protocol) -> None:
+    def forget_connection(self, connection: http_protocol.Protocol) -> None:
         """Records that a connection sent a request or was closed."""
         self._new_connections.pop(connection, None)
 
@@ -393,8 +295,8 @@
         start_response(status, list(headers.items()))
         return body
 
-    def _make_protocol(self, conn_state, server) -> _Protocol:
-        return _Protocol(self, conn_state, server)
+    def _make_protocol(self, conn_state, server) -> http_protocol.Protocol:
+        return http_protocol.Protocol(self, conn_state, server)
 
     def _respond(self, environ) -> Response:
         try:
@@ -435,9 +337,11 @@
             if not is_complete:
                 # The server would read the rest, however long it is, before
                 # it reuses the connection.
-                environ[_CLOSE_KEY]()
+                environ[http_protocol.CLOSE_KEY]()
 
-    def _read_body_parts(self, environ, reader: _BodyReader) -> bytes:
+    def _read_body_parts(
+        self, environ, reader: request_bodies.BodyReader
+    ) -> bytes:
         limit = self._settings.limits.request_bytes
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
             return self._read_chunked_body(environ, reader, limit)
@@ -458,7 +362,7 @@
         return body
 
     def _read_chunked_body(
-        self, environ, reader: _BodyReader, limit: int
+        self, environ, reader: request_bodies.BodyReader, limit: int
     ) -> bytes:
         try:
             body = reader.read(environ['wsgi.input'], limit + 1)
@@ -498,84 +402,3 @@
     query = environ.get('QUERY_STRING')
     path = environ['RAW_PATH_INFO']
     return f'{path}?{query}' if query else path
-
-
-class _Protocol(eventlet.wsgi.HttpProtocol):
-    """Counts requests, bounds reads, closes connections when needed."""
-
-    def __init__(self, owner: HttpServer, conn_state, server) -> None:
-        self._owner = owner
-        self._is_counted = False
-        super().__init__(conn_state, server)
-
-    def setup(self) -> None:
-        """Also bounds the lines that a client may send."""
-        super().setup()
-        self._owner.record_connection(self)
-        self.rfile = bounded_reads.BoundedReader.wrap(self.rfile)
-
-    def _read_request_line(self):
-        self.rfile.reset_line_count()
-        line = super()._read_request_line()
-        if line:
-            self._owner.forget_connection(self)
-            self._is_counted = True
-            self._owner.record_request_start()
-        return line
-
-    def finish(self) -> None:
-        """Also forgets the connection."""
-        self._owner.forget_connection(self)
-        super().finish()
-
-    def get_environ(self) -> dict:
-        """Also passes a function that closes the connection."""
-        return {
-            **super().get_environ(),
-            _CLOSE_KEY: self._close_after_response,
-        }
-
-    def _close_after_response(self) -> None:
-        self.close_connection = 1
-
-    def parse_request(self) -> bool:
-        """Also rejects requests with an ambiguous body length.
-
-        Prevents request smuggling: a request hidden in the body of another
-        one must not run.
-        """
-        if not super().parse_request():
-            return False
-        lengths = self.headers.get_all('Content-Length', [])
-        codings = self.headers.get_all('Transfer-Encoding', [])
-        is_plain = all(
-            value.isascii() and value.strip(' \t').isdigit()
-            for value in lengths
-        )
-        is_chunked = [value.strip(' \t').lower() for value in codings] in (
-            [],
-            ['chunked'],
-        )
-        if is_plain and is_chunked and len(lengths) + len(codings) <= 1:
-            return True
-        self.wfile.write(
-            b'HTTP/1.1 400 Bad Request\r\n'
-            b'Connection: close\r\nContent-Length: 0\r\n\r\n'
-        )
-        self.close_connection = 1
-        return False
-
-    def handle_one_request(self) -> None:
-        """Serves one request; returns after the response was written."""
-        try:
-            super().handle_one_request()
-        finally:
-            if self._is_counted:
-                self._is_counted = False
-                self._owner.record_request_end()
-
-    def handle_one_response(self) -> None:
-        """Writes the response; the base class sends ``Connection: close``."""
-        if self._owner.is_closing:
-            self.close_connection = 1
-        super().handle_one_response()
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -85,7 +85,7 @@
             is_not_run=is_not_run,
             version=_read_version(headers.get(names.VERSIONS.lower())),
             load=_read_load(headers.get(names.REPLICA_LOAD.lower())),
-            proof=headers.get(names.STAMP.lower()),
+            signature=headers.get(names.STAMP.lower()),
         )
 
     def read_event_version(
--- a/tests/functional/test_platform_scoring.py
+++ b/tests/functional/test_platform_scoring.py
@@ -18,7 +18,7 @@
 
 
 def check_scores(world, results, items=ITEMS):
-    """Checks that each result has the proof of an answer to its request."""
+    """Checks that each result is signed by an answer to its request."""
     test_platform.check_results(results, items)
     runs = world.plain.read_journal()['runs']
     for result in results:
--- a/tests/lib/raw_server.py
+++ b/tests/lib/raw_server.py
@@ -82,5 +82,5 @@
     head = OK + b'Keep-Alive: timeout=10\r\n'
     if request_id:
         head += f'Lentildeal-Request-Id: {request_id}\r\n'.encode()
-        head += b'Lentildeal-Response-Stamp: proof\r\n'
+        head += b'Lentildeal-Response-Stamp: signature\r\n'
     return head + f'Content-Length: {len(body)}\r\n\r\n'.encode() + body
--- a/tests/unit/jobs/test_scoring.py
+++ b/tests/unit/jobs/test_scoring.py
@@ -47,8 +47,8 @@
             found.is_stopped = True
             raise
 
-    def answer(self, attempt, status, proof='proof', load=None):
-        response = gateway_calls.LiveResponse(status, (), b'', proof)
+    def answer(self, attempt, status, signature='signature', load=None):
+        response = gateway_calls.LiveResponse(status, (), b'', signature)
         attempt.end.send(
             gateway_plugin.AttemptResult(
                 attempt.replica, response, False, f'status {status}', load
@@ -161,7 +161,7 @@
     assert text.text == 'i0 text'
 
 
-def test_answer_without_a_proof_is_not_a_score(log, gateway):
+def test_answer_without_a_signature_is_not_a_score(log, gateway):
     # Guards against a result that is listed without its score.
     submit_generated(log)
     store_kernel.wait_for(lambda: gateway.attempts)
