Claim one group of leases a check; let no resignation overtake checkpoints

Now one check claims one group. Test: test_one_check_claims_one_group, red before. Two tests that waited half a second for both leases of a single daemon wait a second, as the second group is claimed later; what they check is unchanged.

A resignation in the same batch went ahead, so the successor opened the job without any progress. It now waits for what was queued before it, for at most half a second at a store that refuses.

--- a/src/lentildeal/_internal/jobs/append_queue.py
+++ b/src/lentildeal/_internal/jobs/append_queue.py
@@ -24,6 +24,10 @@
 FIRST_RETRY_DELAY_S = 0.05
 # 350 daemons that retry at this interval make 1,400 calls a second.
 MAX_RETRY_DELAY_S = 0.25
+# Attempts of a batch for which a resignation waits until the checkpoints
+# before it are stored, so that the next holder finds them. With the delays
+# between the attempts that is half a second at a store that refuses them.
+MAX_RESIGNATION_DELAYS = 4
 # Upper bound of the size of a record without its text.
 RECORD_OVERHEAD_BYTES = 256
 
@@ -44,10 +48,25 @@
 
 
 class _QueuedRecord(typing.NamedTuple):
-    """A record to append, with the events of its text if it has one."""
+    """A record to append.
+
+    Attributes:
+        record: The record.
+        events: Events of its text if it has one that is not stored yet.
+        delays: Batches in which it waited for the records before it.
+    """
 
     record: records.Record
     events: typing.Optional[tuple[str, ...]]
+    delays: int = 0
+
+    @property
+    def must_wait(self) -> bool:
+        """Whether it waits for records before it that are not stored."""
+        return (
+            isinstance(self.record, records.Resignation)
+            and self.delays < MAX_RESIGNATION_DELAYS
+        )
 
 
 class AppendQueue:
@@ -111,8 +130,14 @@
         not delay results whose texts are in other streams.
         """
         batch = self._store_texts(batch)
-        ready = [queued for queued in batch if queued.events is None]
-        remaining = [queued for queued in batch if queued.events is not None]
+        ready, remaining = [], []
+        for queued in batch:
+            if queued.events is not None:
+                remaining.append(queued)
+            elif remaining and queued.must_wait:
+                remaining.append(queued._replace(delays=queued.delays + 1))
+            else:
+                ready.append(queued)
         if ready and not self._append_records([q.record for q in ready]):
             return batch
         return remaining
--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -290,7 +290,10 @@
             since_s = self._vacant_since_s.setdefault(lease_name, now_s)
             if now_s - since_s >= self._claim_delay_s(lease_name, group):
                 due.setdefault(group, []).append(lease_name)
-        for group, lease_names in due.items():
+        # One group a check: a held group delays the claim of the next one, so
+        # that another daemon takes it. Otherwise the loss of one daemon stops
+        # both the orders and the jobs of a service.
+        for group, lease_names in list(due.items())[:1]:
             self._claim(group, lease_names)
 
     def _recover_claim(self, lease_name: ids.LeaseName, group: str) -> None:
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -16,6 +16,8 @@
 from tests.lib import job_builders
 
 MODELS = ('m0', 'm1', 'm2')
+# After this time a single daemon holds the leases of both groups.
+CLAIMS_S = 1.0
 
 
 class SharedLog:
@@ -107,6 +109,25 @@
     assert orders.holder is not None
 
 
+def test_one_check_claims_one_group(log, monkeypatch):
+    # Guards against one daemon that takes both the orders and the jobs of a
+    # service where others could take one of them, so that its loss stops both.
+    # Both groups are due at the second check, as it is later than the spread.
+    monkeypatch.setattr(lease_manager, 'CHECK_INTERVAL_S', 0.4)
+    manager = make_manager(log, 'n0')
+    orders = lease_manager.orders_lease_name(job_builders.SERVICE)
+    run([manager], 0.5)
+    is_holder = [
+        log.leases.get(orders).holder is not None,
+        all(holder is not None for holder in holders(log).values()),
+    ]
+    assert sorted(is_holder) == [False, True]
+    # No other daemon wants the second group.
+    eventlet.sleep(0.8)
+    assert manager.find_term(orders) is not None
+    assert set(holders(log).values()) == {'n0'}
+
+
 @pytest.mark.parametrize('seed', range(3))
 def test_models_of_a_service_are_claimed_together(log, seed):
     # Guards against daemons that start at the same time and win one model
@@ -122,7 +143,7 @@
     # A slow store handles four appends a second, so the results of a holder
     # and its renewals delay each other.
     manager = make_manager(log, 'n0')
-    run([manager], 0.5)
+    run([manager], CLAIMS_S)
     log.appends = 0
     for _ in range(10):
         eventlet.sleep(0.1)
@@ -138,7 +159,7 @@
 def test_renewals_without_a_response_back_off(log):
     # Guards against renewals that fill the queue of a slow store.
     manager = make_manager(log, 'n0')
-    run([manager], 0.5)
+    run([manager], CLAIMS_S)
     timeouts = []
 
     def append(batch, timeout_s=None):
@@ -227,7 +248,7 @@
     log = DelayedLog()
     manager = make_manager(log, 'n0')
     lease_name = lease_manager.orders_lease_name(job_builders.SERVICE)
-    run([manager], 0.5)
+    run([manager], CLAIMS_S)
     assert manager.may_order(lease_name)
     log.is_cut = True
     log.sync()
@@ -252,7 +273,7 @@
     log = DelayedLog()
     manager = make_manager(log, 'n0')
     lease_name = lease_manager.orders_lease_name(job_builders.SERVICE)
-    run([manager], 0.5)
+    run([manager], CLAIMS_S)
     log.is_cut = True
     eventlet.sleep(lease_manager.LEASE_S + 0.1)
     assert not manager.may_order(lease_name)
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -95,6 +95,45 @@
     store_kernel.wait_for(lambda: not log.queued_count)
 
 
+def read_kinds(store):
+    return [
+        type(records.decode(body))
+        for body in store.streams[records.WORK_STREAM]
+    ]
+
+
+def leave_with_a_checkpoint(log):
+    log.append([job_builders.make_accepted()])
+    store_kernel.wait_for(lambda: entry_of(log))
+    log.enqueue(records.Checkpoint('job', 0, (1,), 2, '1'), ('one', 'two'))
+    log.enqueue(records.Resignation('jobs/m', 7))
+
+
+@pytest.mark.parametrize(
+    'fault', [Fault.REFUSED, Fault.LOST_RESPONSE, Fault.SILENT]
+)
+def test_resignation_does_not_overtake_a_checkpoint(store, log, fault):
+    # Guards against a planned stop whose successor starts all items from the
+    # beginning, as one failed append held up their checkpoints only.
+    log.append([job_builders.make_accepted()])
+    store.faults = [None, fault]
+    leave_with_a_checkpoint(log)
+    store_kernel.wait_for(lambda: not log.queued_count)
+    store_kernel.wait_for(lambda: records.Resignation in read_kinds(store))
+    kinds = read_kinds(store)
+    assert kinds.index(records.Checkpoint) < kinds.index(records.Resignation)
+
+
+def test_resignation_waits_half_a_second_for_a_failing_stream(store, log):
+    # Guards against a lease that expires, as a stream of texts is away.
+    store.failing_stream = records.text_stream_name('job')
+    leave_with_a_checkpoint(log)
+    started_s = time.monotonic()
+    store_kernel.wait_for(lambda: records.Resignation in read_kinds(store))
+    assert time.monotonic() - started_s < 1.0
+    assert records.Checkpoint not in read_kinds(store)
+
+
 def test_records_queued_in_an_outage_are_appended_after_it(store, log):
     # Guards against results lost with an outage of the store.
     log.append([job_builders.make_accepted()])
