Bound stalled streams and clients that read slowly; split events at any byte

Cause: streams of live calls were relayed without a limit. The read timeout of the socket starts anew with each byte, so a replica that sends a byte now and then held its stream without end, and nobody noticed that the caller had left while the replica was silent. The other way round, a client that takes a byte now and then held a response: the socket's timeout starts anew there, too. The parser of events missed a separator whose carriage return and line feed came in two reads.

Change: gateway/streams.py relays by a reader thread one chunk ahead. Writes to clients have 15 s and at least 16 KiB/s a part; after that the connection is shut down (counter lentildeal_slow_clients_total).

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -13,6 +13,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import choice
+from lentildeal._internal.gateway import streams
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
@@ -239,9 +240,7 @@
             return AttemptResult(replica, None, False, error.message)
         is_streaming = False
         try:
-            result = self._read_response(
-                replica, call, response, is_stream=is_stream
-            )
+            result = self._read_response(replica, route, call, response)
             is_streaming = is_stream and result.response is not None
             return result
         except exceptions.TruncatedAnswerError as error:
@@ -253,10 +252,9 @@
     def _read_response(
         self,
         replica: deployment.Replica,
+        route: deployment.Route,
         call: calls.LiveCall,
         response: target_connections.TargetResponse,
-        *,
-        is_stream: bool,
     ) -> AttemptResult:
         info = self._directory.platform.read_response(
             response.status, response.headers
@@ -275,8 +273,9 @@
         if 'content-encoding' in response.headers:
             return AttemptResult(replica, None, False, 'encoded body')
         headers = calls.drop_connection_headers(response.header_list)
+        is_stream = route.kind is deployment.RouteKind.STREAM
         if is_stream and response.status == 200:
-            body: typing.Any = response.iter_chunks()
+            body: typing.Any = streams.relay(response, call, route.objective_s)
         else:
             body = response.read()
         live_response = calls.LiveResponse(
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import typing
 
+import eventlet
 import eventlet.wsgi
+import prometheus_client
 
 from lentildeal._internal.network import bounded_reads
 
@@ -13,6 +17,86 @@
 
 # Key of the function that closes the connection after the response.
 CLOSE_KEY = 'lentildeal.close_connection'
+# Time for a part of a response, and its lowest rate. The slowest links carry a
+# hundred times as much; callers wait for less than this time.
+WRITE_TIMEOUT_S = 15.0
+MIN_WRITE_BYTES_PER_S = 16 * 1024
+
+_slow_clients_total = prometheus_client.Counter(
+    'lentildeal_slow_clients_total',
+    'Connections closed because their client did not take a response.',
+)
+
+
+class BoundedWriter:
+    """Writes responses with a limit on the time of each part.
+
+    The socket's timeout starts anew with each byte that the client takes, so a
+    client that reads a byte now and then would hold a response without end.
+    """
+
+    def __init__(self, writer: typing.Any, connection: typing.Any) -> None:
+        self._writer = writer
+        self._connection = connection
+
+    @property
+    def closed(self) -> bool:
+        """Whether it is closed."""
+        return self._writer.closed
+
+    def write(self, data: bytes) -> None:
+        """Writes bytes.
+
+        Raises:
+            OSError: The client is gone or reads too slowly.
+        """
+        self._write_in_time(len(data), self._writer.write, data)
+
+    def writelines(self, lines: typing.Sequence[bytes]) -> None:
+        """Writes parts of a response.
+
+        Raises:
+            OSError: The client is gone or reads too slowly.
+        """
+        size_bytes = sum(map(len, lines))
+        self._write_in_time(size_bytes, self._writer.writelines, lines)
+
+    def flush(self) -> None:
+        """Sends what is buffered.
+
+        Raises:
+            OSError: The client is gone or reads too slowly.
+        """
+        self._write_in_time(0, self._writer.flush)
+
+    def close(self) -> None:
+        """Sends what is buffered and closes the writer.
+
+        Raises:
+            OSError: The client is gone or reads too slowly.
+        """
+        self._write_in_time(0, self._writer.close)
+
+    def _write_in_time(
+        self, size_bytes: int, write: typing.Callable, *arguments: typing.Any
+    ) -> None:
+        limit_s = WRITE_TIMEOUT_S + size_bytes / MIN_WRITE_BYTES_PER_S
+        timeout = eventlet.Timeout(limit_s)
+        try:
+            write(*arguments)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            _slow_clients_total.inc()
+            # Later writes fail at once and do not wait again.
+            with contextlib.suppress(OSError):
+                self._connection.shutdown(socket.SHUT_RDWR)
+            raise ConnectionAbortedError(
+                f'the client did not take {size_bytes} bytes within'
+                f' {limit_s:.0f} s'
+            ) from expired
+        finally:
+            timeout.cancel()
 
 
 class Protocol(eventlet.wsgi.HttpProtocol):
@@ -26,9 +110,10 @@
         super().__init__(conn_state, server)
 
     def setup(self) -> None:
-        """Also bounds the lines that a client may send."""
+        """Also bounds what a client may send, and the time it may take."""
         super().setup()
         self._owner.record_connection(self)
+        self.wfile = BoundedWriter(self.wfile, self.connection)
         self.rfile = bounded_reads.BoundedReader.wrap(self.rfile)
 
     def _read_request_line(self):
--- a/src/lentildeal/_internal/network/sse.py
+++ b/src/lentildeal/_internal/network/sse.py
@@ -36,11 +36,13 @@
 
     def __init__(self) -> None:
         self._buffer = b''
+        # A carriage return at the end of the last data.
+        self._held = b''
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the last event received is incomplete."""
-        return bool(self._buffer)
+        return bool(self._buffer or self._held)
 
     def feed_events(self, data: bytes) -> list[Event]:
         """Adds bytes and returns the events that are now complete.
@@ -67,7 +69,10 @@
         ]
 
     def _split(self, data: bytes) -> list[bytes]:
-        data = data.replace(b'\r\n', b'\n')
+        # Both bytes of a line end have to be seen together.
+        data = self._held + data
+        self._held = b'\r' if data.endswith(b'\r') else b''
+        data = data.removesuffix(b'\r').replace(b'\r\n', b'\n')
         # The part that was searched before can end with half a separator.
         if b'\n\n' in self._buffer[-1:] + data:
             *events, self._buffer = (self._buffer + data).split(b'\n\n')
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -106,6 +106,11 @@
     def _is_chunked(self) -> bool:
         return 'chunked' in self.headers.get('transfer-encoding', '').lower()
 
+    def set_read_timeout(self, seconds: float) -> None:
+        """Sets the longest wait for further bytes of the body."""
+        if self._connection.sock is not None:
+            self._connection.sock.settimeout(seconds)
+
     def read(self) -> bytes:
         """Reads the rest of the body.
 
