--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,8 @@
 # Time limit for all work to complete after the last fault.
 SETTLE_S = 60.0
 MAX_FAULT_S = 4.0
+# The smallest instances have this memory for a daemon.
+MAX_DAEMON_MB = 136.0
 KEPT_SEEDS = pathlib.Path(__file__).parent / 'seeds.txt'
 
 
@@ -35,9 +37,10 @@
         self.world = platform_world.World(launcher, daemons=0, engines=0)
         self._store_proxies = []
         self.daemons: list = []
-        self._engine_proxies = []
+        self._replica_proxies = []
         for number in range(options.engines):
             self._add_engine(f'r{number}')
+        self._put_behind_proxy(self.world.plain, 'p0', 'desk', {})
         for number in range(options.daemons):
             self._add_daemon(f'n{number}')
         for daemon in self.daemons:
@@ -86,6 +89,8 @@
         checker = self.clients.checker
         checker.check_all_complete()
         checker.check_runs(self._read_runs())
+        for daemon in self.daemons:
+            checker.check_memory(daemon.name, daemon.pid, MAX_DAEMON_MB)
         print(
             f'{len(checker.accepted)} jobs, {len(checker.calls)} calls,'
             f' {len(checker.violations)} broken'
@@ -94,7 +99,7 @@
 
     def close(self) -> None:
         """Closes the proxies; the launcher ends the processes."""
-        for item in (*self._store_proxies, *self._engine_proxies):
+        for item in (*self._store_proxies, *self._replica_proxies):
             item.close()
 
     def _read_runs(self) -> list[dict]:
@@ -105,14 +110,18 @@
         engine = self._launcher.start_stand_in(
             'platform.replica', '--replica-id', replica_id
         )
-        fault_proxy = proxy.Proxy(engine.port)
         self.world.engines.append(engine)
-        self._engine_proxies.append(fault_proxy)
+        self._put_behind_proxy(
+            engine, replica_id, 'engines', {platform_world.MODEL: 1}
+        )
+
+    def _put_behind_proxy(
+        self, replica, replica_id: str, service: str, versions: dict
+    ) -> None:
+        fault_proxy = proxy.Proxy(replica.port)
+        self._replica_proxies.append(fault_proxy)
         self.world.write_replica(
-            replica_id,
-            'engines',
-            fault_proxy.address,
-            {platform_world.MODEL: 1},
+            replica_id, service, fault_proxy.address, versions
         )
 
     def _add_daemon(self, instance: str) -> None:
@@ -160,15 +169,20 @@
         return lambda: daemon.signal(signal.SIGCONT)
 
     def _disrupt_store_connections(self) -> typing.Callable[[], None]:
-        return self._disrupt(self._rng.choice(self._store_proxies))
+        return self._disrupt(
+            self._rng.choice(self._store_proxies), proxy.STORE_MODES
+        )
 
     def _disrupt_engine_connections(self) -> typing.Callable[[], None]:
-        return self._disrupt(self._rng.choice(self._engine_proxies))
+        return self._disrupt(
+            self._rng.choice(self._replica_proxies), proxy.REPLICA_MODES
+        )
 
-    def _disrupt(self, fault_proxy: proxy.Proxy) -> typing.Callable[[], None]:
+    def _disrupt(
+        self, fault_proxy: proxy.Proxy, modes: typing.Sequence[proxy.Mode]
+    ) -> typing.Callable[[], None]:
         if self._rng.random() < 0.3:
             fault_proxy.reset_all()
-        modes = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
         fault_proxy.set_mode(
             self._rng.choice(modes), self._rng.uniform(0.05, 0.5)
         )
@@ -182,7 +196,7 @@
 
     def _inject_engine_fault(self) -> None:
         engine = self._rng.choice([*self.world.engines, self.world.plain])
-        names = ('cut', 'foreign', 'full')
+        names = ('cut', 'foreign', 'full', 'lose')
         engine.set_faults(**{self._rng.choice(names): self._rng.randint(1, 6)})
 
     def _take_store_down(self) -> typing.Callable[[], None]:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -15,14 +15,19 @@
         self._lock = threading.Lock()
         self._positions: dict[tuple[str, int], dict] = {}
         self._items: dict[str, set[str]] = {}
+        self._scored: set[str] = set()
         self.accepted: set[str] = set()
         self.statuses: dict[str, list[int]] = collections.defaultdict(list)
         self.calls: dict[str, int | None] = {}
         self.violations: list[str] = []
 
-    def add_job(self, job_id: str, item_ids: list[str]) -> None:
+    def add_job(
+        self, job_id: str, item_ids: list[str], is_scored: bool
+    ) -> None:
         """Records a job before its first submission."""
         self._items[job_id] = set(item_ids)
+        if is_scored:
+            self._scored.add(job_id)
 
     def add_submission(self, job_id: str, status: int) -> None:
         """Records the status of a submission, 0 without a response."""
@@ -62,6 +67,14 @@
                 if ran:
                     self._add_violation(f'refused job {job_id}: {ran} ran')
 
+    def check_memory(self, name: str, pid: int, limit_mb: float) -> None:
+        """Checks the peak memory of a daemon."""
+        with open(f'/proc/{pid}/status') as status:
+            lines = [line for line in status if line.startswith('VmHWM')]
+        peak_mb = int(lines[0].split()[1]) / 1024 if lines else 0.0
+        if peak_mb > limit_mb:
+            self._add_violation(f'{name} used {peak_mb:.0f} MB')
+
     def check_all_complete(self) -> None:
         """Checks that all results of each accepted job were read."""
         for job_id in self.accepted:
@@ -94,6 +107,9 @@
             self._add_violation(f'job {job_id}: item {item_id} was given up')
         elif result['Text'] != platform_world.expected_text(item_id):
             self._add_violation(f'job {job_id}: wrong text of item {item_id}')
+        score = result.get('Score', '').rpartition('.')[0]
+        if score != (f'score-{item_id}' if job_id in self._scored else ''):
+            self._add_violation(f'item {item_id} has the score {score!r}')
 
     def _add_violation(self, text: str) -> None:
         self.violations.append(text)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -45,8 +45,12 @@
         while not self.is_ending.is_set():
             job_id = f's{self._seed}t{number}k{step}'
             items = [f'{job_id}i{index}' for index in range(ITEMS_PER_JOB)]
-            self.checker.add_job(job_id, items)
-            job = platform_world.make_job(items)
+            make = rng.choice(
+                (platform_world.make_job, platform_world.make_scored_job)
+            )
+            job = make(items)
+            is_scored = make is platform_world.make_scored_job
+            self.checker.add_job(job_id, items, is_scored)
             if self._submit(rng, job_id, job):
                 self._read(rng, job_id)
             step += 1
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,12 +1,15 @@
-"""Loopback proxy that delays, resets or blocks connections.
+"""Loopback proxy that delays, resets, blocks or falsifies connections.
 
-Connections can be blocked in both directions or for responses only.
+Connections can be blocked in both directions or for responses only. Responses
+can be followed by a late second copy, slowed to a byte now and then, or
+replaced by a head or a body without end.
 """
 
 from __future__ import annotations
 
 import contextlib
 import enum
+import itertools
 import socket
 import struct
 import threading
@@ -16,6 +19,20 @@
 READ_BYTES = 65536
 # SO_LINGER with a timeout of 0 makes close() send a reset.
 RESET_LINGER = struct.pack('ii', 1, 0)
+# Pause between the single bytes of a stalled response.
+TRICKLE_S = 0.3
+# A second copy is sent when the next request may be on its way.
+COPY_DELAYS_S = (0.0, 0.02, 0.2)
+FILL = b'x' * READ_BYTES
+ENDLESS = (
+    # A head, and bodies with and without chunks.
+    (b'HTTP/1.1 200 OK\r\n', b'X-Fill: ' + FILL[:4000] + b'\r\n'),
+    (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'%x\r\n' % len(FILL) + FILL + b'\r\n',
+    ),
+    (b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n', FILL),
+)
 
 
 class Mode(enum.Enum):
@@ -25,6 +42,17 @@
     DELAY = 'delay'
     SILENT = 'silent'
     NO_RESPONSES = 'no_answers'
+    SECOND_COPY = 'second_copy'
+    TRICKLE = 'trickle'
+    ENDLESS = 'endless'
+
+
+# Faults of the network, which any connection may have.
+NETWORK_MODES = (Mode.DELAY, Mode.SILENT, Mode.NO_RESPONSES)
+# Faults of a server, too. A second copy of an answer that has no id can't be
+# told from the next answer, so the store sends none.
+STORE_MODES = (*NETWORK_MODES, Mode.TRICKLE, Mode.ENDLESS)
+REPLICA_MODES = (*STORE_MODES, Mode.SECOND_COPY)
 
 
 class Proxy:
@@ -34,6 +62,7 @@
         self._to_port = to_port
         self._mode = Mode.PASS
         self._delay_s = 0.0
+        self._numbers = itertools.count()
         self._sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=512)
@@ -92,12 +121,36 @@
         with contextlib.suppress(OSError):
             while data := source.recv(READ_BYTES):
                 self._wait_while_blocked(is_response=is_response)
-                sink.sendall(data)
+                if is_response:
+                    self._send_response(sink, data)
+                else:
+                    sink.sendall(data)
         with self._lock:
             self._sockets -= {source, sink}
         _close(source)
         _close(sink)
 
+    def _send_response(self, sink: socket.socket, data: bytes) -> None:
+        """Sends a part of a response in the way of the mode.
+
+        Raises:
+            OSError: The connection was closed.
+        """
+        if self._mode is Mode.ENDLESS and data.startswith(b'HTTP/'):
+            head, part = ENDLESS[next(self._numbers) % len(ENDLESS)]
+            sink.sendall(head)
+            while True:
+                sink.sendall(part)
+        sent = 0
+        while self._mode is Mode.TRICKLE and sent < len(data):
+            sink.sendall(data[sent : sent + 1])
+            sent += 1
+            time.sleep(TRICKLE_S)
+        sink.sendall(data[sent:])
+        if self._mode is Mode.SECOND_COPY and data.startswith(b'HTTP/'):
+            time.sleep(COPY_DELAYS_S[next(self._numbers) % len(COPY_DELAYS_S)])
+            sink.sendall(data)
+
     def _wait_while_blocked(self, *, is_response: bool) -> None:
         """Waits as long as the mode delays or blocks bytes."""
         time.sleep(self._delay_s if self._mode is Mode.DELAY else 0.0)
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -13,6 +13,7 @@
 from lentildeal._internal.network import sse
 from lentildeal._internal.network import target_connections
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import decimals
 
 # The runner stops an unresponsive attempt long before this. The timeout only
 # bounds reads of attempts that the runner no longer tracks.
@@ -198,13 +199,14 @@
         self._versions.add(self._version)
 
     def _check_order(self, event: sse.Event) -> None:
-        if event.event_id is None or not event.event_id.isdigit():
+        number = decimals.read_decimal(event.event_id or '')
+        if number is None:
             raise exceptions.TruncatedAnswerError(
                 f'event id {event.event_id!r} is not a number'
             )
         if self._last_event_id is None:
             return
-        if int(event.event_id) != int(self._last_event_id) + 1:
+        if number != int(self._last_event_id) + 1:
             raise exceptions.TruncatedAnswerError(
                 f'event {event.event_id} received after {self._last_event_id}'
             )
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -102,6 +102,10 @@
 class Protocol(eventlet.wsgi.HttpProtocol):
     """Counts requests, bounds reads, closes connections when needed."""
 
+    # Version of a request line without one. The default is HTTP/0.9, whose
+    # answers have no status.
+    default_request_version = 'HTTP/1.0'
+
     def __init__(
         self, owner: http_server.HttpServer, conn_state, server
     ) -> None:
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -22,6 +22,7 @@
 from lentildeal._internal.network import request_bodies
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import decimals
 
 JSON_TYPE = 'application/json'
 # Idle keep-alive connections are closed after this time, in seconds.
@@ -345,17 +346,18 @@
         limit = self._settings.limits.request_bytes
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
             return self._read_chunked_body(environ, reader, limit)
-        length = environ.get('CONTENT_LENGTH') or '0'
-        if not length.isdigit():
+        field = environ.get('CONTENT_LENGTH') or '0'
+        length = decimals.read_decimal(field)
+        if length is None:
             raise exceptions.BadRequestError(
-                f'Content-Length {length!r} is not a number'
+                f'Content-Length {field!r:.50} is not a number of bytes'
             )
-        if int(length) > limit:
+        if length > limit:
             raise exceptions.RequestTooLargeError(
                 f'the body has {length} bytes; the limit is {limit}'
             )
-        body = reader.read(environ['wsgi.input'], int(length))
-        if len(body) < int(length):
+        body = reader.read(environ['wsgi.input'], length)
+        if len(body) < length:
             raise exceptions.BadRequestError(
                 f'incomplete body: {len(body)} of {length} bytes'
             )
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -21,6 +21,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import bounded_reads
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import decimals
 
 # Callers allow one second for a new connection. The latency of targets is one
 # to three milliseconds, which leaves time to retransmit the first packet.
@@ -327,6 +328,7 @@
 def _read_idle_s(headers: typing.Mapping[str, str]) -> float:
     for part in headers.get('keep-alive', '').split(','):
         name, _, value = part.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdigit():
-            return min(MAX_IDLE_S, int(value) - IDLE_MARGIN_S)
+        idle_s = decimals.read_decimal(value)
+        if name.lower() == 'timeout' and idle_s is not None:
+            return min(MAX_IDLE_S, idle_s - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -15,6 +15,7 @@
 from lentildeal._internal.platform import names
 from lentildeal._internal.platform import store
 from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import decimals
 
 # Replicas answer reports and orders from memory, within milliseconds. The
 # timeout leaves room for the retransmission of a lost packet after 0.2 s.
@@ -110,7 +111,7 @@
                 documents.decode_models(report['Models']),
                 bool(report['Busy']),
                 # Counts accepted orders; it is not the position of an entry.
-                int(report['Sequence']),
+                decimals.require_int(report['Sequence']),
             )
         except (KeyError, TypeError, ValueError) as error:
             raise exceptions.UnreadableRecordError(
@@ -187,15 +188,14 @@
 
 
 def _read_version(value: typing.Optional[str]) -> typing.Optional[ids.Version]:
-    if value is None or not value.strip().isdigit():
-        return None
-    return ids.Version(int(value))
+    number = decimals.read_decimal(value or '')
+    return None if number is None else ids.Version(number)
 
 
 def _read_load(
     value: typing.Optional[str],
 ) -> typing.Optional[platform_base.ReplicaLoad]:
-    parts = (value or '').split(',')
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    numbers = [decimals.read_decimal(p) for p in (value or '').split(',')]
+    if len(numbers) != 3 or None in numbers:
         return None
-    return platform_base.ReplicaLoad(*map(int, parts))
+    return platform_base.ReplicaLoad(*numbers)
--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -7,6 +7,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
+from lentildeal._internal.utils import decimals
 
 MS_PER_S = 1000.0
 
@@ -29,15 +30,15 @@
     try:
         limits = document.get('Limits') or {}
         return deployment.PublishedText(
-            version=_require_int(document['Version']),
+            version=decimals.require_int(document['Version']),
             routes=tuple(_decode_route(r) for r in document['Routes']),
             services={
-                ids.ServiceName(s['Name']): _decode_service(s)
+                ids.ServiceName(_require_string(s['Name'])): _decode_service(s)
                 for s in document['Services']
             },
             limits=deployment.IngressLimits(
-                limits.get('MaxHeaderBytes', 16 * 1024),
-                limits.get('MaxBodyBytes', 32 * 1024 * 1024),
+                _read_amount(limits, 'MaxHeaderBytes', 16 * 1024),
+                _read_amount(limits, 'MaxBodyBytes', 32 * 1024 * 1024),
             ),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
@@ -55,7 +56,7 @@
     try:
         return deployment.VersionAnnouncement(
             ids.ModelName(_require_string(document['Model'])),
-            ids.Version(_require_int(document['Version'])),
+            ids.Version(decimals.require_int(document['Version'])),
         )
     except (KeyError, TypeError, ValueError) as error:
         raise exceptions.UnreadableRecordError(
@@ -74,7 +75,7 @@
     try:
         address = _require_string(document['Address'])
         host, _, port = address.rpartition(':')
-        if not host or not port.isdigit():
+        if not host or not 0 < (decimals.read_decimal(port) or 0) < 65536:
             raise ValueError(f'invalid address {address!r}')
         return deployment.Replica(
             replica_id=replica_id,
@@ -83,11 +84,11 @@
             failure_domain=ids.FailureDomain(
                 _require_string(document['Zone'])
             ),
-            slots=_require_int(document['Slots']),
+            slots=int(decimals.require_amount(document['Slots'])),
             # An unknown state raises KeyError, which rejects the entry.
             state=_REPLICA_STATES[document['State']],
             versions=decode_models(document.get('Models') or []),
-            started_ms=_require_int(document.get('born', 0)),
+            started_ms=decimals.require_int(document.get('born', 0)),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise exceptions.UnreadableRecordError(
@@ -101,7 +102,7 @@
     """Decodes the loaded version of each model of a replica."""
     return {
         ids.ModelName(_require_string(entry['Name'])): ids.Version(
-            _require_int(entry['Version'])
+            decimals.require_int(entry['Version'])
         )
         for entry in entries
     }
@@ -112,22 +113,25 @@
         {'Service': route['Service'], 'Weight': 1}
     ]
     return deployment.Route(
-        name=ids.RouteName(route['Name']),
-        host=route['Host'].lower(),
-        path_prefix=route['PathPrefix'],
+        name=ids.RouteName(_require_string(route['Name'])),
+        host=_require_string(route['Host']).lower(),
+        path_prefix=_require_string(route['PathPrefix']),
         kind=_ROUTE_KINDS.get(route['Kind'], deployment.RouteKind.UNSAFE),
         shares=tuple(
-            deployment.Share(ids.ServiceName(s['Service']), s['Weight'])
+            deployment.Share(
+                ids.ServiceName(_require_string(s['Service'])),
+                decimals.require_amount(s['Weight']),
+            )
             for s in shares
         ),
-        timeout_s=route.get('TimeoutMs', 0) / MS_PER_S,
-        objective_s=route.get('TargetLatencyMs', 0) / MS_PER_S,
-        max_attempts=route.get('MaxAttempts', 1),
+        timeout_s=_read_amount(route, 'TimeoutMs') / MS_PER_S,
+        objective_s=_read_amount(route, 'TargetLatencyMs') / MS_PER_S,
+        max_attempts=int(_read_amount(route, 'MaxAttempts', 1)),
         # Deadline for all results of a job.
-        deadline_s=route.get('DeadlineMs', 0) / MS_PER_S,
+        deadline_s=_read_amount(route, 'DeadlineMs') / MS_PER_S,
         # Despite its name, RetentionS is the time after which an item may be
         # given up, not a time for which records are kept.
-        max_item_age_s=float(route.get('RetentionS', 0)),
+        max_item_age_s=float(_read_amount(route, 'RetentionS')),
         is_single_version=bool(route.get('SingleVersion', False)),
         is_resumable=bool(route.get('Resumable', False)),
     )
@@ -138,18 +142,21 @@
     return deployment.Service(
         name=ids.ServiceName(service['Name']),
         models=tuple(
-            ids.ModelName(m['Name']) for m in engine.get('Models', [])
+            ids.ModelName(_require_string(m['Name']))
+            for m in engine.get('Models') or []
         ),
-        slots=engine.get('Slots', 0),
-        max_connections=service.get('MaxConnections', 0),
-        tokens_per_event=engine.get('Stride') or 1,
+        slots=int(_read_amount(engine, 'Slots')),
+        max_connections=int(_read_amount(service, 'MaxConnections')),
+        tokens_per_event=_read_amount(engine, 'Stride') or 1,
     )
 
 
-def _require_int(value: typing.Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f'{value!r} is not an integer')
-    return value
+def _read_amount(
+    document: dict, name: str, default: float = 0
+) -> typing.Union[int, float]:
+    """Returns a number, the default if it is missing or null."""
+    value = document.get(name)
+    return default if value is None else decimals.require_amount(value)
 
 
 def _require_string(value: typing.Any) -> str:
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -22,6 +22,7 @@
 from lentildeal._internal.network import problems
 from lentildeal._internal.platform import names
 from lentildeal._internal.utils import clock
+from lentildeal._internal.utils import decimals
 
 # Deadline of a request without a deadline header, in milliseconds.
 DEFAULT_DEADLINE_MS = 10_000
@@ -155,10 +156,12 @@
                 job_id=ids.JobId(job_id),
                 host=host,
                 path=path,
-                model=ids.ModelName(document['Model']),
-                step=int(document['Step']),
-                min_version=ids.Version(int(document['MinVersion'])),
-                required_groups=int(document['BatchGroups']),
+                model=ids.ModelName(_require_text(document['Model'])),
+                step=decimals.require_int(document['Step']),
+                min_version=ids.Version(
+                    decimals.require_int(document['MinVersion'])
+                ),
+                required_groups=decimals.require_int(document['BatchGroups']),
                 submitted_ms=int(clock.unix_s() * 1000),
                 item_count=len(items),
             ),
@@ -194,20 +197,25 @@
 
 
 def _decode_item(entry: dict) -> jobs.Item:
-    item_id = entry['Id']
+    item_id = _require_text(entry['Id'])
     try:
-        headers = {str(k): str(v) for k, v in entry['Headers'].items()}
+        headers = {
+            _require_text(k): _require_text(str(v))
+            for k, v in entry['Headers'].items()
+        }
         # The usage header holds the prompt tokens and the maximum of output
         # tokens. The length hint is the better estimate.
         usage = headers.get(names.TOKEN_USAGE, '0,0').split(',')
-        hint = headers.get(names.LENGTH_HINT, '')
+        hint = decimals.read_decimal(headers.get(names.LENGTH_HINT, ''))
+        if hint is None:
+            hint = _read_number(usage[-1], names.TOKEN_USAGE)
         return jobs.Item(
             item_id=ids.ItemId(item_id),
-            group=ids.GroupId(entry.get('Group') or item_id),
-            path=entry['Path'],
+            group=ids.GroupId(_require_text(entry.get('Group') or item_id)),
+            path=_require_text(entry['Path']),
             headers=headers,
             body=base64.b64decode(entry.get('Body') or '', validate=True),
-            expected_tokens=int(hint if hint.isdigit() else usage[-1]),
+            expected_tokens=hint,
             scoring=_decode_scoring(entry.get('Scorer')),
         )
     except (
@@ -216,6 +224,7 @@
         ValueError,
         AttributeError,
         binascii.Error,
+        exceptions.BadRequestError,
     ) as error:
         raise ValueError(f'item {item_id!r}: {error!r}') from error
 
@@ -226,13 +235,26 @@
     if entry is None:
         return None
     return jobs.ScoringRequest(
-        request_id=str(entry['Id']),
-        host=str(entry['Host']),
-        path=str(entry['Path']),
+        request_id=_require_text(entry['Id']),
+        host=_require_text(entry['Host']),
+        path=_require_text(entry['Path']),
         body=base64.b64decode(entry.get('Body') or '', validate=True),
     )
 
 
+def _require_text(value: typing.Any) -> str:
+    """Returns a string that can be sent and stored.
+
+    Raises:
+        TypeError: It is not a string.
+        ValueError: It has parts of surrogate pairs.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f'{value!r:.50} is not a string')
+    value.encode()
+    return value
+
+
 def _read_host(request: http_server.Request) -> str:
     return (
         urllib.parse.urlsplit(f'//{request.headers.get("host", "")}')
@@ -242,9 +264,13 @@
 
 
 def _read_number(value: str, name: str) -> int:
-    if not value.strip().isdigit():
-        raise exceptions.BadRequestError(f'{name} is not a number: {value!r}')
-    return int(value)
+    number = decimals.read_decimal(value)
+    if number is None:
+        raise exceptions.BadRequestError(
+            f'{name} is not a number of up to {decimals.MAX_DIGITS} digits:'
+            f' {value!r:.50}'
+        )
+    return number
 
 
 def _add_retry_after(handler: http_server.Handler) -> http_server.Handler:
