--- a/src/lentildeal/_internal/commands/__init__.py
+++ b/src/lentildeal/_internal/commands/__init__.py
@@ -48,6 +48,9 @@
     'report burn': Entry(
         'report_burn', 'ReportBurn', 'Show how fast error budgets burn.'
     ),
+    'report losses': Entry(
+        'report_losses', 'ReportLosses', 'Show lost work by cause, from logs.'
+    ),
 }
 
 
