Drop new connections before a listener is closed

Change: a classic BPF filter on the listening socket drops first segments (SYN without ACK), handshakes that have begun get 30 ms, the queue is accepted, then the socket is closed. A client in that gap sends its first segment again after a second and is refused. Systems without such filters keep the short gap.

--- a/src/lentildeal/_internal/network/listening.py
+++ b/src/lentildeal/_internal/network/listening.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import ctypes
+import struct
 import typing
 
 import eventlet
@@ -15,6 +18,23 @@
 # The patched function allows no second reader of a socket.
 _select = eventlet.patcher.original('select').select
 
+# From linux/socket.h; the module socket has no name for it.
+SO_ATTACH_FILTER = 26
+# Classic BPF program on the TCP header: drops segments with SYN and without
+# ACK, passes all others. Source: linux/filter.h, RFC 9293 section 3.1.
+_DROP_NEW_CONNECTIONS = b''.join(
+    struct.pack('HBBI', *instruction)
+    for instruction in (
+        (0x30, 0, 0, 13),  # load the byte of the flags
+        (0x54, 0, 0, 0x12),  # keep SYN and ACK
+        (0x15, 0, 1, 0x02),  # only SYN?
+        (0x06, 0, 0, 0),  # drop
+        (0x06, 0, 0, 0xFFFFFFFF),  # pass
+    )
+)
+# Time for handshakes that have begun; round trips take up to 3 ms.
+HANDSHAKE_S = 0.03
+
 
 def listen(address: str, backlog: int) -> socket.socket:
     """Listens on an address without sharing it with other processes.
@@ -65,10 +85,34 @@
         return self._never.wait()
 
     def stop(self) -> None:
-        """Accepts what waits to be accepted, then closes the socket."""
+        """Accepts what waits to be accepted, then closes the socket.
+
+        A connection that is established between the last check and the close
+        would be reset, so no new one may begin before that.
+        """
+        _refuse_new_connections(self._socket)
+        eventlet.sleep(HANDSHAKE_S)
         while _select([self._socket.fileno()], [], [], 0)[0]:
             eventlet.sleep(0)
         self._is_stopped = True
         # A close alone leaves the socket open while accept() waits on it.
         self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
+
+
+def _refuse_new_connections(listening_socket: typing.Any) -> None:
+    """Drops the first segment of new connections.
+
+    Their clients send it again after a second, when the socket is closed, and
+    are refused.
+    """
+    program = ctypes.create_string_buffer(
+        _DROP_NEW_CONNECTIONS, len(_DROP_NEW_CONNECTIONS)
+    )
+    count = len(_DROP_NEW_CONNECTIONS) // struct.calcsize('HBBI')
+    option = struct.pack('HP', count, ctypes.addressof(program))
+    # Systems without such filters keep the short gap before the close.
+    with contextlib.suppress(OSError):
+        listening_socket.setsockopt(
+            socket.SOL_SOCKET, SO_ATTACH_FILTER, option
+        )
