--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -132,6 +132,10 @@
         load: Load of the replica, None if not reported.
         signature: Text by which the caller can verify that the replica
             made the response, None if not reported.
+        rate_limit: Requests a second that the replica accepts from all
+            daemons together, None without a limit.
+        is_misdirected: Whether the request was meant for another replica or
+            version; then the replica is not the one that was addressed.
     """
 
     request_id: typing.Optional[str]
@@ -139,6 +143,8 @@
     version: typing.Optional[ids.Version]
     load: typing.Optional[ReplicaLoad]
     signature: typing.Optional[str] = None
+    rate_limit: typing.Optional[float] = None
+    is_misdirected: bool = False
 
 
 class OrderOutcome(str, enum.Enum):
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -55,7 +55,7 @@
         return self.response is not None and self.response.status < 500
 
 
-@plugins.register('gateway', after=('directory',))
+@plugins.register('gateway', after=('directory', 'replica_limits'))
 class Gateway(plugins.Plugin):
     """Chooses replicas for live calls and forwards their responses."""
 
@@ -63,6 +63,7 @@
         super().__init__(kernel)
         self._directory = kernel.plugin('directory')
         self._connections = target_connections.TargetConnections()
+        self._limits = kernel.plugin('replica_limits')
         self._health = health.HealthTracker()
         self._running: dict[ids.ReplicaId, int] = {}
         self._loads: dict[
@@ -166,6 +167,7 @@
         started_s = clock.monotonic_s()
         self._running[replica_id] = self._running.get(replica_id, 0) + 1
         self._health.record_start(replica.address)
+        self._limits.record_sent(replica_id)
         try:
             result = self._send_in_time(replica, route, call, deadline)
         finally:
@@ -262,6 +264,7 @@
         if info.load is not None:
             self._loads[replica.replica_id] = info.load, clock.monotonic_s()
         if info.is_not_run:
+            self._limits.record_answer(replica.replica_id, info)
             response.read()
             return AttemptResult(
                 replica, None, True, f'status {response.status}', info.load
@@ -270,6 +273,7 @@
             return AttemptResult(
                 replica, None, False, 'response to another request'
             )
+        self._limits.record_answer(replica.replica_id, info)
         if 'content-encoding' in response.headers:
             return AttemptResult(replica, None, False, 'encoded body')
         headers = calls.drop_connection_headers(response.header_list)
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -49,7 +49,7 @@
         replica: deployment.Replica,
         progress: jobs.Progress,
         min_version: ids.Version,
-        on_load: typing.Callable[[platform_base.ReplicaLoad], None],
+        on_info: typing.Callable[[platform_base.ResponseInfo], None],
     ) -> None:
         self.replica = replica
         self.started_s = clock.monotonic_s()
@@ -60,7 +60,7 @@
         self._platform = platform
         self._connections = connections
         self._min_version = min_version
-        self._on_load = on_load
+        self._on_info = on_info
         self._events = list(progress.events)
         self._last_event_id = progress.last_event_id
         self._versions = set(progress.versions)
@@ -131,15 +131,14 @@
         self, response: target_connections.TargetResponse, item: jobs.Item
     ) -> AttemptOutcome:
         info = self._platform.read_response(response.status, response.headers)
-        if info.load is not None:
-            # Reported before the body is read, as the load is outdated
-            # within seconds.
-            self._on_load(info.load)
         # Only a refusal may lack the request ID.
         is_foreign = info.request_id not in (None, item.item_id)
         if is_foreign or (response.status == 200 and not info.request_id):
             self.reason = f'response to another request, {info.request_id}'
             return AttemptOutcome.BROKEN
+        # Reported before the body is read, as the load is outdated within
+        # seconds.
+        self._on_info(info)
         if response.status == 200:
             # A replica that has nothing left to generate names no version.
             is_resumed = self._last_event_id is not None
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -66,7 +66,10 @@
     results: tuple[jobs.Result, ...]
 
 
-@plugins.register('jobs', after=('directory', 'gateway', 'work_log', 'duties'))
+@plugins.register(
+    'jobs',
+    after=('directory', 'gateway', 'work_log', 'duties', 'replica_limits'),
+)
 class Jobs(plugins.Plugin):
     """Accepts jobs of trainers and serves their results."""
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -7,6 +7,7 @@
 import eventlet
 import prometheus_client
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import lease_manager
@@ -51,6 +52,7 @@
         self._directory = kernel.plugin('directory')
         self._log = kernel.plugin('work_log')
         self._lease_manager = kernel.plugin('duties')
+        self._limits = kernel.plugin('replica_limits')
         self._connections = target_connections.TargetConnections()
         self._jobs: dict[ids.JobId, open_jobs.OpenJob] = {}
         self._pace_tracker = pace.PaceTracker()
@@ -340,13 +342,12 @@
             replica,
             task.progress,
             task.entry.head.min_version,
-            lambda load: self._replica_tracker.record_load(
-                replica.replica_id, load.running + load.waiting
-            ),
+            lambda info: self._record_info(replica.replica_id, info),
         )
         task.attempt = attempt
         task.attempt_count += 1
         self._replica_tracker.record_start(replica.replica_id)
+        self._limits.record_sent(replica.replica_id)
         events.emit(
             'item_started',
             item=task.item.item_id,
@@ -358,6 +359,15 @@
         )
         task.thread = eventlet.spawn(self._run_attempt, task, attempt)
 
+    def _record_info(
+        self, replica_id: ids.ReplicaId, info: platform_base.ResponseInfo
+    ) -> None:
+        if info.load is not None:
+            self._replica_tracker.record_load(
+                replica_id, info.load.running + info.load.waiting
+            )
+        self._limits.record_answer(replica_id, info)
+
     def _run_attempt(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
     ) -> None:
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -27,6 +27,7 @@
 STORE_MODULES = (
     'lentildeal._internal.directory.plugin',
     'lentildeal._internal.jobs.work_log',
+    'lentildeal._internal.routing.replica_limits',
     'lentildeal._internal.jobs.lease_manager',
     'lentildeal._internal.jobs.plugin',
     'lentildeal._internal.orders.rotation_plugin',
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -181,6 +181,21 @@
     state='"ready", "leaving" or "gone".',
     versions='Version by model.',
 )
+define(
+    'replica_limit_changed',
+    'A replica named another request limit, or named none any more.',
+    replica='Replica.',
+    limit='Requests a second that it accepts from all daemons, null for any.',
+    previous='The same before.',
+    source='"answer" if the replica answered this daemon.',
+)
+define(
+    'limited_requests_sent',
+    'This daemon sent requests to a replica that named a request limit.',
+    replica='Replica.',
+    limit='Requests a second that it accepts from all daemons.',
+    sent='Requests of this daemon in the last second.',
+)
 define(
     'duty_claimed',
     'This daemon claimed a lease.',
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -48,7 +48,7 @@
     order_count: int = 0
 
 
-@plugins.register('rotation', after=('duties',))
+@plugins.register('rotation', after=('duties', 'replica_limits'))
 class Rotation(plugins.Plugin):
     """Sends the orders of services whose lease this daemon holds."""
 
@@ -57,6 +57,7 @@
         self._directory = kernel.plugin('directory')
         self._leases = kernel.plugin('duties')
         self._log = kernel.plugin('work_log')
+        self._limits = kernel.plugin('replica_limits')
         self._pending: dict[ids.ReplicaId, _PendingLoad] = {}
         self._avoided_until_s: dict[ids.ReplicaId, float] = {}
         self._load_duration = rotation.LoadDuration()
@@ -153,6 +154,7 @@
             replica = self._directory.replicas.get(load.replica_id)
             if replica is None:
                 return
+            self._limits.record_sent(replica.replica_id)
             report = self._directory.platform.get_report(replica)
             if report.versions.get(load.model, 0) >= load.version:
                 self._confirm(load)
@@ -194,6 +196,7 @@
             expected_orders=report.order_count,
         )
         outcome: typing.Optional[platform_base.OrderOutcome] = None
+        self._limits.record_sent(replica.replica_id)
         try:
             outcome = self._directory.platform.order_version(replica, order)
         finally:
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -20,6 +20,7 @@
 # Replicas answer reports and orders from memory, within milliseconds. The
 # timeout leaves room for the retransmission of a lost packet after 0.2 s.
 CONTROL_TIMEOUT_S = 0.5
+MISDIRECTED_STATUS = 421
 
 _ORDER_OUTCOMES = {
     202: platform_base.OrderOutcome.ACCEPTED,
@@ -80,13 +81,20 @@
         self, status: int, headers: typing.Mapping[str, str]
     ) -> platform_base.ResponseInfo:
         """See the base class."""
-        is_not_run = names.NOT_EXECUTED.lower() in headers or status == 421
+        is_not_run = (
+            names.NOT_EXECUTED.lower() in headers
+            or status == MISDIRECTED_STATUS
+        )
         return platform_base.ResponseInfo(
             request_id=headers.get(names.REQUEST_ID.lower()),
             is_not_run=is_not_run,
             version=_read_version(headers.get(names.VERSIONS.lower())),
             load=_read_load(headers.get(names.REPLICA_LOAD.lower())),
             signature=headers.get(names.STAMP.lower()),
+            rate_limit=decimals.read_rate(
+                headers.get(names.REQUEST_LIMIT.lower(), '')
+            ),
+            is_misdirected=status == MISDIRECTED_STATUS,
         )
 
     def read_event_version(
--- a/src/lentildeal/_internal/utils/decimals.py
+++ b/src/lentildeal/_internal/utils/decimals.py
@@ -21,6 +21,17 @@
     return int(text)
 
 
+def read_rate(text: str) -> typing.Optional[float]:
+    """Reads a non-negative decimal number that may have a fraction.
+
+    Returns None for anything else, also for an exponent, infinity and NaN.
+    """
+    whole, _, fraction = text.strip().partition('.')
+    if read_decimal(whole + fraction) is None:
+        return None
+    return float(text)
+
+
 def require_int(value: typing.Any) -> int:
     """Returns an integer of a JSON document.
 
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -9,6 +9,7 @@
 from lentildeal._internal.directory import replicas
 from lentildeal._internal.jobs import work_log
 from lentildeal._internal.kernel import kernel as kernel_module
+from lentildeal._internal.routing import replica_limits
 from lentildeal._internal.utils import read_pacing
 from tests.lib import job_builders
 
@@ -63,6 +64,7 @@
     def add_work_log(self, is_started=True) -> work_log.WorkLog:
         """Adds a work log, and starts it if requested."""
         log = self.plugins['work_log'] = work_log.WorkLog(self)
+        self.plugins['replica_limits'] = replica_limits.ReplicaLimits(self)
         if is_started:
             log.start()
         return log
--- a/tests/unit/jobs/test_attempts.py
+++ b/tests/unit/jobs/test_attempts.py
@@ -34,7 +34,7 @@
             job_builders.make_replica(address=server.address),
             progress,
             1,
-            lambda load: None,
+            lambda info: None,
         )
         return attempt.run('club.example', job_builders.make_item()), attempt
 
@@ -115,7 +115,7 @@
             job_builders.make_replica(address=server.address),
             jobs.Progress(),
             1,
-            lambda load: None,
+            lambda info: None,
         )
         attempt.run('club.example', job_builders.make_item())
     assert attempt.run_events == (7 if is_sound else 1)
--- a/tests/unit/orders/test_rotation_plugin.py
+++ b/tests/unit/orders/test_rotation_plugin.py
@@ -69,6 +69,7 @@
             resign=lambda name, reason: None,
         ),
         'work_log': types.SimpleNamespace(enqueue=lambda record: None),
+        'replica_limits': types.SimpleNamespace(record_sent=lambda r: None),
     }
     return rotation_plugin.Rotation(
         types.SimpleNamespace(
