--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -19,12 +19,14 @@
 
     # cut: the connection is closed after three events; fail: run, then
     # respond with 500; foreign: the response names another request; full: 503
-    # without running the request; lose: run, then closed without a response.
+    # without running the request; limit: requests a second that it names,
+    # 0 for none; lose: run, then closed without a response.
     fault_defaults = {
         'cut': 0,
         'fail': 0,
         'foreign': 0,
         'full': 0,
+        'limit': 0,
         'lose': 0,
     }
 
@@ -85,7 +87,9 @@
     def _run(self, request: common.Request) -> common.Response:
         request_id = request.headers.get(REQUEST_ID_HEADER.lower(), '')
         if self.faults.should_inject('full'):
-            return common.Response(503, {'Lentildeal-Not-Executed': '1'})
+            return common.Response(
+                503, {'Lentildeal-Not-Executed': '1', **self._limit_header}
+            )
         last_event_id = request.headers.get('last-event-id')
         self._runs.append(
             {
@@ -100,6 +104,7 @@
         headers = {
             REQUEST_ID_HEADER: request_id,
             'Lentildeal-Response-Stamp': f'{request_id}.{len(self._runs)}',
+            **self._limit_header,
         }
         if self.faults.should_inject('lose'):
             request.abort()
@@ -113,6 +118,11 @@
         start = 0 if last_event_id is None else int(last_event_id) + 1
         return common.Response(200, headers, self._stream(request, start))
 
+    @property
+    def _limit_header(self) -> dict[str, str]:
+        limit = self.faults['limit']
+        return {'Server-Limit': str(limit)} if limit else {}
+
     def _stream(
         self, request: common.Request, start: int
     ) -> typing.Iterator[bytes]:
