Keep the requests of all daemons within the limits of replicas

Cause: no daemon read the limit, and free slots do not show it; a limited replica that answers fast even looks idle. Class of fault: a resource that is shared by all daemons is decided on by each alone.

Live calls are ordered by the log before they are sent.

--- a/src/lentildeal/_internal/gateway/choice.py
+++ b/src/lentildeal/_internal/gateway/choice.py
@@ -21,6 +21,9 @@
 # Load added to a replica in another failure domain, in shares of its slots.
 # Small, since the network round trip is a small part of the response time.
 REMOTE_DOMAIN_LOAD = 0.1
+# Load added to a replica that limits its requests. It is in need, and its room
+# is left to requests that no other replica can take.
+LIMITED_LOAD = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -32,12 +35,14 @@
         load: Its known running requests, in shares of its slots.
         penalty: Load added for failures.
         is_local: Whether it is in this daemon's failure domain.
+        is_limited: Whether it limits its requests.
     """
 
     replica_id: ids.ReplicaId
     load: float
     penalty: float
     is_local: bool
+    is_limited: bool = False
 
 
 def choose(
@@ -54,11 +59,13 @@
         return None
 
     def cost(candidate: Candidate) -> tuple[float, float]:
-        remote_load = 0.0 if candidate.is_local else REMOTE_DOMAIN_LOAD
+        extra_load = 0.0 if candidate.is_local else REMOTE_DOMAIN_LOAD
+        if candidate.is_limited:
+            extra_load += LIMITED_LOAD
         # Ties are broken at random, so that daemons don't all choose the
         # same replica.
         return (
-            candidate.load + candidate.penalty + remote_load,
+            candidate.load + candidate.penalty + extra_load,
             random.random(),
         )
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -27,6 +27,9 @@
 CLIENT_CHECK_INTERVAL_S = 0.1
 # Retry delay returned to callers of a service without usable replicas.
 RETRY_AFTER_S = 0.2
+# Longest wait of a call for its turn at a replica that limits its requests. A
+# call whose turn comes later is refused at once, as it may find one elsewhere.
+MAX_TURN_WAIT_S = 0.1
 # Validity of the load that a replica reports.
 LOAD_VALID_S = 1.0
 
@@ -48,6 +51,7 @@
     is_not_run: bool
     reason: str
     load: typing.Optional[platform_base.ReplicaLoad] = None
+    is_sent: bool = True
 
     @property
     def is_success(self) -> bool:
@@ -142,7 +146,11 @@
         tried: typing.Container[ids.ReplicaId],
     ) -> typing.Optional[deployment.Replica]:
         """Chooses a replica for an attempt, None without an untried one."""
-        ready = self._directory.replicas.list_ready(service)
+        ready = [
+            replica
+            for replica in self._directory.replicas.list_ready(service)
+            if self._limits.wait_s(replica.replica_id) <= MAX_TURN_WAIT_S
+        ]
         usable = set(self._health.select_usable([r.address for r in ready]))
         candidates = [
             self._make_candidate(replica)
@@ -155,6 +163,14 @@
             chosen = choice.choose(candidates, tried)
         return None if chosen is None else self._directory.replicas.get(chosen)
 
+    def find_limit_wait_s(self, service: ids.ServiceName) -> float:
+        """Time until the request limit of some replica leaves room."""
+        ready = self._directory.replicas.list_ready(service)
+        return min(
+            (self._limits.wait_s(replica.replica_id) for replica in ready),
+            default=0.0,
+        )
+
     def attempt(
         self,
         replica: deployment.Replica,
@@ -167,7 +183,6 @@
         started_s = clock.monotonic_s()
         self._running[replica_id] = self._running.get(replica_id, 0) + 1
         self._health.record_start(replica.address)
-        self._limits.record_sent(replica_id)
         try:
             result = self._send_in_time(replica, route, call, deadline)
         finally:
@@ -199,6 +214,14 @@
         """
         timeout = eventlet.Timeout(max(0.001, deadline.remaining_s))
         try:
+            if not self._limits.acquire(replica.replica_id, MAX_TURN_WAIT_S):
+                return AttemptResult(
+                    replica,
+                    None,
+                    True,
+                    'its request limit leaves no room',
+                    is_sent=False,
+                )
             return self._send(replica, route, call, deadline)
         except eventlet.Timeout as expired:
             if expired is not timeout:
@@ -318,6 +341,7 @@
             known_running / max(1, replica.slots),
             self._health.penalty(replica.address),
             replica.failure_domain == self._kernel.settings.failure_domain,
+            self._limits.is_limited(replica_id),
         )
 
     def _close_expired_connections(self) -> None:
@@ -345,6 +369,8 @@
         self._threads: list = []
         self._running = 0
         self._may_have_run = False
+        # Attempts that found no turn at their replica.
+        self._unsent = 0
         self._failed_response: typing.Optional[calls.LiveResponse] = None
         self.tried: list[ids.ReplicaId] = []
         self.answered_by: typing.Optional[ids.ReplicaId] = None
@@ -383,7 +409,8 @@
         return self._deadline.has_passed or self._call.is_client_gone()
 
     def _start_attempt(self) -> None:
-        if len(self.tried) >= self._route.max_attempts or self._is_finished():
+        attempts = len(self.tried) - self._unsent
+        if attempts >= self._route.max_attempts or self._is_finished():
             return
         replica = self._gateway.choose(self._service, self.tried)
         if replica is None:
@@ -413,6 +440,8 @@
         return result
 
     def _handle_failure(self, result: AttemptResult) -> None:
+        if not result.is_sent:
+            self._unsent += 1
         if not result.is_not_run:
             self._may_have_run = True
             self._failed_response = result.response or self._failed_response
@@ -424,6 +453,13 @@
             return exceptions.MayHaveRunError(
                 f'no response after {len(self.tried)} attempts'
             )
+        wait_s = self._gateway.find_limit_wait_s(self._service)
+        if wait_s > 0.0:
+            return exceptions.NotRunError(
+                f'the request limits of {self._service} leave no room',
+                cause='rate_limited',
+                retry_after_s=max(RETRY_AFTER_S, round(wait_s, 3)),
+            )
         return exceptions.NotRunError(
             f'no replica of {self._service} accepted the call',
             cause='no_replica',
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -179,6 +179,53 @@
     version: ids.Version
 
 
+@register_record(9)
+@dataclasses.dataclass(frozen=True)
+class RateLimitNamed:
+    """A replica named another request limit in an answer.
+
+    Attributes:
+        incarnation: Process of the daemon that got the answer.
+        replica_id: Replica.
+        rate: Requests a second that it accepts from all daemons together,
+            None without a limit.
+    """
+
+    incarnation: ids.Incarnation
+    replica_id: ids.ReplicaId
+    rate: typing.Optional[float]
+
+
+@register_record(10)
+@dataclasses.dataclass(frozen=True)
+class RequestsSent:
+    """Requests of a daemon to limited replicas, without its turns.
+
+    Attributes:
+        incarnation: Process of the daemon.
+        totals: Pairs of replica and number of requests since its start.
+    """
+
+    incarnation: ids.Incarnation
+    totals: tuple[tuple[ids.ReplicaId, int], ...]
+
+
+@register_record(11)
+@dataclasses.dataclass(frozen=True)
+class RequestTurn:
+    """A live request that a daemon will send to a limited replica.
+
+    Attributes:
+        incarnation: Process of the daemon.
+        replica_id: Replica.
+        number: Number of the request at this daemon.
+    """
+
+    incarnation: ids.Incarnation
+    replica_id: ids.ReplicaId
+    number: int
+
+
 # Records of the text streams.
 @register_record(16)
 @dataclasses.dataclass(frozen=True)
@@ -218,6 +265,9 @@
     Renewal,
     Resignation,
     VersionLoaded,
+    RateLimitNamed,
+    RequestsSent,
+    RequestTurn,
 ]
 Payload = typing.Union[JobPart, EventTexts]
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -223,7 +223,7 @@
         return scheduling.Candidate(
             replica_id,
             replica.versions[model],
-            self._replica_tracker.count_free(replica_id, replica.slots),
+            self._count_free(replica),
             replica.slots,
             self._pace_tracker.get(replica_id),
             self._pace_tracker.get_last(replica_id),
@@ -232,6 +232,14 @@
             self._replica_tracker.is_on_trial(replica_id),
         )
 
+    def _count_free(self, replica: deployment.Replica) -> int:
+        """Number of slots that may get an item now."""
+        if not self._limits.may_send_item(replica.replica_id):
+            return 0
+        return self._replica_tracker.count_free(
+            replica.replica_id, replica.slots
+        )
+
     def _check_attempts(self) -> None:
         now_s = clock.monotonic_s()
         for task in self._iter_tasks():
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -75,6 +75,7 @@
         self._cache = texts_module.TextCache()
         self._append_timeout = append_timeout.AppendTimeout()
         self._queue = append_queue.AppendQueue(self, self._settings.call_bytes)
+        self._handlers: dict[type, typing.Callable[[typing.Any], None]] = {}
 
     @property
     def is_caught_up(self) -> bool:
@@ -214,6 +215,14 @@
         """Registers a source that may add a record to queued batches."""
         self._queue.add_piggyback_source(source)
 
+    def on_record(
+        self,
+        record_type: type,
+        handler: typing.Callable[[typing.Any], None],
+    ) -> None:
+        """Registers the handler of a type of record."""
+        self._handlers[record_type] = handler
+
     def sync(self) -> None:
         """Reads all records that were in the log when this was called.
 
@@ -365,6 +374,10 @@
                 reason=error.message,
             )
             return False
+        handler = self._handlers.get(type(record))
+        if handler is not None:
+            handler(record)
+            return False
         if isinstance(record, records.VersionLoaded):
             self._replicas.confirm_version(
                 record.replica_id, record.model, record.version
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -187,7 +187,7 @@
     replica='Replica.',
     limit='Requests a second that it accepts from all daemons, null for any.',
     previous='The same before.',
-    source='"answer" if the replica answered this daemon.',
+    source='"answer" if the replica answered this daemon, "log" if another.',
 )
 define(
     'limited_requests_sent',
@@ -195,6 +195,7 @@
     replica='Replica.',
     limit='Requests a second that it accepts from all daemons.',
     sent='Requests of this daemon in the last second.',
+    wait_ms='Time until the next live request may be sent, in milliseconds.',
 )
 define(
     'duty_claimed',
