Count live requests that wait for their turn at a limited replica

Cause: a call that came shortly before there was room waited and was sent without being appended to the log. The new test failed before (more than the limit over 7 s) and passes.

--- a/src/lentildeal/_internal/routing/replica_limits.py
+++ b/src/lentildeal/_internal/routing/replica_limits.py
@@ -9,6 +9,7 @@
 
 import collections
 import itertools
+import math
 import typing
 
 import eventlet
@@ -53,10 +54,18 @@
 
 
 class _Turn(typing.NamedTuple):
-    """A live request that waits for its place in the order of all daemons."""
+    """A live request that waits for its place in the order of all daemons.
+
+    Attributes:
+        replica_id: Replica to which it will be sent.
+        max_wait_s: Longest time to wait for its turn.
+        found: Sends the time until its turn, infinite if it would come too
+            late, and None if the order is not known.
+    """
 
     replica_id: ids.ReplicaId
-    wait_s: eventlet.event.Event
+    max_wait_s: float
+    found: eventlet.event.Event
 
 
 @plugins.register('replica_limits', after=('directory', 'work_log'))
@@ -149,7 +158,9 @@
         """
         if not self.is_limited(replica_id):
             return True
-        wait_s = None if self._is_isolated else self._find_turn(replica_id)
+        wait_s = None
+        if not self._is_isolated:
+            wait_s = self._find_turn(replica_id, max_wait_s)
         if wait_s is None:
             # No order of all daemons is known.
             is_allowed = not self._table.wait_s(
@@ -168,13 +179,15 @@
         _turns_total.labels('taken').inc()
         return True
 
-    def _find_turn(self, replica_id: ids.ReplicaId) -> typing.Optional[float]:
+    def _find_turn(
+        self, replica_id: ids.ReplicaId, max_wait_s: float
+    ) -> typing.Optional[float]:
         """Returns the time until the turn of a request, None if unknown."""
-        turn = _Turn(replica_id, eventlet.event.Event())
+        turn = _Turn(replica_id, max_wait_s, eventlet.event.Event())
         # The calls to the store go on after the timeout.
         eventlet.spawn_n(self._take_turn, turn)
         with eventlet.Timeout(TURN_TIMEOUT_S, False):
-            return turn.wait_s.wait()
+            return turn.found.wait()
         return None
 
     def _take_turn(self, turn: _Turn) -> None:
@@ -182,9 +195,8 @@
         try:
             # The turns of others that this daemon has not read yet.
             self._log.sync()
-            wait_s = self.wait_s(turn.replica_id)
-            if wait_s > 0.0:
-                turn.wait_s.send(wait_s)
+            if self.wait_s(turn.replica_id) > turn.max_wait_s:
+                turn.found.send(math.inf)
                 return
             self._turns[number] = turn
             self._log.append(
@@ -200,8 +212,8 @@
             events.emit('append_retried', records=1, reason=error.message)
         finally:
             self._turns.pop(number, None)
-            if not turn.wait_s.ready():
-                turn.wait_s.send(None)
+            if not turn.found.ready():
+                turn.found.send(None)
 
     def _set_rate(
         self,
@@ -251,8 +263,8 @@
             return
         wait_s = self._table.record_turn(record.replica_id)
         turn = self._turns.pop(record.number, None)
-        if turn is not None and not turn.wait_s.ready():
-            turn.wait_s.send(wait_s)
+        if turn is not None:
+            turn.found.send(wait_s)
 
     # Sharing with other daemons.
 
--- /dev/null
+++ b/tests/unit/routing/test_replica_limits.py
@@ -0,0 +1,82 @@
+"""Turns of live requests at limited replicas, with a fake store."""
+
+import contextlib
+import time
+
+import eventlet
+import pytest
+
+from lentildeal._internal.adapters import platform_base
+from lentildeal._internal.models import ids
+from tests.lib import fake_store
+from tests.lib import store_kernel
+
+REPLICA = ids.ReplicaId('r1')
+LIMIT = 4.0
+# A second's worth of requests and one more may be sent at once.
+MAX_AT_ONCE = 5
+
+
+@pytest.fixture
+def store():
+    return fake_store.FakeStore()
+
+
+@pytest.fixture
+def make_daemon(store):
+    with contextlib.ExitStack() as stack:
+
+        def make(incarnation):
+            kernel = store_kernel.StoreKernel(store)
+            kernel.incarnation = incarnation
+            stack.enter_context(contextlib.closing(kernel))
+            log = kernel.add_work_log()
+            limits = kernel.plugins['replica_limits']
+            limits.start()
+            store_kernel.wait_for(lambda: log.is_caught_up)
+            return limits
+
+        yield make
+
+
+def name_limit(daemon, limit=LIMIT):
+    daemon.record_answer(
+        REPLICA,
+        platform_base.ResponseInfo('1', False, None, None, rate_limit=limit),
+    )
+
+
+def test_calls_that_wait_for_their_turn_are_counted(make_daemon):
+    """Guards against a call that waits and is sent without its turn.
+
+    It came when the limit had no room, but would have within its wait.
+    """
+    daemons = [make_daemon(number) for number in (1, 2, 3)]
+    name_limit(daemons[0])
+    store_kernel.wait_for(
+        lambda: all(daemon.is_limited(REPLICA) for daemon in daemons)
+    )
+    sent = []
+
+    def send_calls(daemon):
+        for _ in range(50):
+            if daemon.acquire(REPLICA, 0.2):
+                sent.append(1)
+            eventlet.sleep(0.05)
+
+    started_s = time.monotonic()
+    for thread in [eventlet.spawn(send_calls, d) for d in daemons]:
+        thread.wait()
+    elapsed_s = time.monotonic() - started_s
+    assert 0.5 * LIMIT * elapsed_s <= len(sent) <= LIMIT * elapsed_s + 1
+
+
+def test_concurrent_calls_of_one_daemon_share_the_limit(make_daemon):
+    """Guards against calls that all find room before one of them is sent."""
+    daemon = make_daemon(1)
+    name_limit(daemon)
+    eventlet.sleep(1.5)
+    threads = [
+        eventlet.spawn(daemon.acquire, REPLICA, 0.05) for _ in range(20)
+    ]
+    assert sum(thread.wait() for thread in threads) <= MAX_AT_ONCE
