Reject messages whose head is cut short

Reported by other operators: a replica stopped within the head of its answer, and clients got a 200 with an empty body, framed as whole. It happened here: http.client takes the end of the stream for the end of the head, so the headers read so far stood for the answer, and without a length its empty body was complete.

The reader of all HTTP messages now treats the end of the stream within a head as an error.

--- a/src/lentildeal/_internal/network/bounded_reads.py
+++ b/src/lentildeal/_internal/network/bounded_reads.py
@@ -49,11 +49,14 @@
     Attributes:
         has_extra_bytes: Whether bytes were left in the buffer when the reader
             was closed, set by ``close``.
+        is_in_head: Whether the lines of a head are read, in which the end of
+            the stream is an error.
     """
 
     def __init__(self, raw: io.RawIOBase) -> None:
         self._endable = _EndableRaw(raw)
         self._line_bytes = 0
+        self.is_in_head = False
         self.has_extra_bytes = False
         super().__init__(self._endable)
 
@@ -72,6 +75,8 @@
         Raises:
             http.client.LineTooLong: The lines since the last part of a body
                 are too long.
+            http.client.IncompleteRead: The stream ended within a head, which
+                the standard library takes for the end of the head.
         """
         available = MAX_LINE_BYTES - self._line_bytes + 1
         if size is None or size < 0 or size > available:
@@ -80,6 +85,10 @@
         self._line_bytes += len(line)
         if self._line_bytes > MAX_LINE_BYTES:
             raise http.client.LineTooLong('lines of an HTTP message')
+        # A stream that ends before the first line has no message.
+        is_cut = self._line_bytes > 0 and not line.endswith(b'\n')
+        if self.is_in_head and is_cut:
+            raise http.client.IncompleteRead(line)
         return line
 
     def read(self, size: typing.Optional[int] = -1) -> bytes:
@@ -113,6 +122,20 @@
         super().__init__(*args, **kwargs)
         self.fp = owner.last_reader = BoundedReader.wrap(self.fp)
 
+    def begin(self) -> None:
+        """Reads the head.
+
+        Raises:
+            http.client.HTTPException: It is not valid, or not complete.
+        """
+        # The reader is closed, and no longer known, after an empty body.
+        reader = self.fp
+        reader.is_in_head = True
+        try:
+            super().begin()
+        finally:
+            reader.is_in_head = False
+
 
 class BoundedConnection(urllib3.connection.HTTPConnection):
     """Connection with bounded reads.
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -145,13 +145,18 @@
         self.close_connection = 1
 
     def parse_request(self) -> bool:
-        """Also rejects requests with an ambiguous body length.
+        """Also rejects incomplete heads and ambiguous body lengths.
 
-        Prevents request smuggling: a request hidden in the body of another
-        one must not run.
+        A head without its last lines is not what the client meant to send.
+        An ambiguous length would allow request smuggling: a request hidden in
+        the body of another one must not run.
         """
-        if not super().parse_request():
-            return False
+        self.rfile.is_in_head = True
+        try:
+            if not super().parse_request():
+                return False
+        finally:
+            self.rfile.is_in_head = False
         lengths = self.headers.get_all('Content-Length', [])
         codings = self.headers.get_all('Transfer-Encoding', [])
         is_plain = all(
