Refuse requests that a planned stop would cut, at once and truthfully

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end. During a planned stop, a call is now refused if its time limit is later than that end; nothing has run, and the caller goes elsewhere at once. The same check holds for the calls of the stand-alone product.

The new test failed before for safe and unsafe calls (both were taken).

Their report of errors in the middle of a stream was not found here: live streams have one attempt, and the items of jobs take only events. Two new tests show it (text of an item, live stream with and without Resumable); they passed at once.

--- a/src/lentildeal/_internal/callers/plugin.py
+++ b/src/lentildeal/_internal/callers/plugin.py
@@ -263,6 +263,7 @@
             )
         if deadline is None:
             deadline = clock.Deadline(service.deadline_ms / 1000)
+        self._kernel.check_time_left(deadline.remaining_s)
         return calls.Call(
             request_id=ids.RequestId(secrets.token_hex(8)),
             name=name,
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -111,6 +111,7 @@
         started_s = clock.monotonic_s()
         forwarder = _CallForwarder(self, route, call)
         try:
+            self._kernel.check_time_left(forwarder.limit_s)
             response = forwarder.run()
         except exceptions.LentildealError as error:
             is_refusal = isinstance(error, exceptions.NotRunError)
@@ -375,6 +376,11 @@
         self.tried: list[ids.ReplicaId] = []
         self.answered_by: typing.Optional[ids.ReplicaId] = None
 
+    @property
+    def limit_s(self) -> float:
+        """Time left for the call, in seconds."""
+        return self._deadline.remaining_s
+
     def run(self) -> calls.LiveResponse:
         """Makes attempts until one succeeds or none is left.
 
--- a/src/lentildeal/_internal/kernel/kernel.py
+++ b/src/lentildeal/_internal/kernel/kernel.py
@@ -16,6 +16,7 @@
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
 from lentildeal._internal.network import http_server
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
@@ -24,6 +25,8 @@
 # Interval of checks for requests in flight during a planned stop, in seconds.
 DRAIN_POLL_S = 0.05
 RESTART_DELAY_S = 0.5
+# Another instance takes the request at once.
+LEAVING_RETRY_AFTER_S = 0.05
 # The settings file may change without SIGHUP.
 SETTINGS_POLL_S = 5.0
 
@@ -58,6 +61,8 @@
         self._reload_requested = wakeup.Wakeup()
         self._work_counters: list[typing.Callable[[], int]] = []
         self._drain_start_handlers: list[typing.Callable[[], None]] = []
+        # When a planned stop aborts requests, None before it begins.
+        self._abort_deadline: typing.Optional[clock.Deadline] = None
 
     @property
     def state(self) -> KernelState:
@@ -69,6 +74,24 @@
         """Whether a planned stop has begun."""
         return self._state in (KernelState.DRAINING, KernelState.STOPPED)
 
+    def check_time_left(self, limit_s: float) -> None:
+        """Checks that a planned stop leaves a new request its time.
+
+        Args:
+            limit_s: Longest time that the request may take.
+
+        Raises:
+            exceptions.NotRunError: The stop may abort the request.
+        """
+        deadline = self._abort_deadline
+        if deadline is not None and deadline.remaining_s < limit_s:
+            raise exceptions.NotRunError(
+                f'this instance is leaving within {limit_s:.1f} s',
+                cause=outcomes.Cause.LEAVING.value,
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+                remedy='send the request again to reach another instance',
+            )
+
     def plugin(self, name: str) -> typing.Any:
         """Returns a plug-in by its registered name.
 
@@ -136,14 +159,17 @@
         """Announces the planned stop and waits for the work in flight."""
         events.emit('stopping')
         self._state = KernelState.DRAINING
+        timing = self.settings.timing
+        self._abort_deadline = clock.Deadline(
+            (timing.leave_ms + timing.drain_ms) / 1000
+        )
         self.http_server.close_after_response()
         for function in self._drain_start_handlers:
             self._run_stop_step('leaving', function)
         for name, plugin in reversed(list(self._plugins.items())):
             self._run_stop_step(name, plugin.drain)
-        timing = self.settings.timing
         # The load balancer may still send requests during the leave time;
-        # they are served.
+        # they are served if they can end in time.
         eventlet.sleep(timing.leave_ms / 1000)
         # The listener stays open. If it were closed, late connections of the
         # load balancer would be reset, and their callers would not be told
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -1,6 +1,8 @@
 """Daemon processes that use the platform's stand-ins."""
 
 import concurrent.futures
+import contextlib
+import http.client
 import signal
 import time
 
@@ -125,6 +127,76 @@
     check_results(world.read_all(world.daemons[0], 'job'))
 
 
+def test_error_after_a_broken_run_is_not_part_of_the_text(launcher):
+    """Guards against the error of the next replica within a text.
+
+    A stream breaks off, and the replica that should go on answers an error.
+    """
+    world = platform_world.World(launcher, daemons=1)
+    first, second = world.engines
+    first.set_faults(cut=4)
+    second.set_faults(fail=6)
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(world.daemons[0], 'job', job) == 202
+    check_results(world.read_all(world.daemons[0], 'job'))
+    runs = [r for e in world.engines for r in e.read_journal()['runs']]
+    assert any(run['after'] is not None for run in runs)
+
+
+@pytest.mark.parametrize('is_resumable', [False, True])
+def test_live_stream_that_breaks_off_is_not_continued_by_an_error(
+    launcher, is_resumable
+):
+    """Guards against an error, or an end mark, in the middle of a stream."""
+    world = platform_world.World(launcher, daemons=1, engines=2)
+    route = platform_world.make_route('live', '/live/', 'stream', 'engines')
+    world.write_text(2, [{**route, 'Resumable': is_resumable}])
+    for engine in world.engines:
+        # The engines differ only in what follows: three events, or an error.
+        engine.set_faults(cut=100)
+    (daemon,) = world.daemons
+
+    def stream(number):
+        connection = http.client.HTTPConnection(
+            '127.0.0.1', daemon.port, timeout=10
+        )
+        with contextlib.closing(connection):
+            headers = {
+                'Host': HOST,
+                'Lentildeal-Request-Id': f's{number}',
+                'Lentildeal-Deadline-Ms': '5000',
+                'Lentildeal-Model': platform_world.MODEL,
+            }
+            connection.request('POST', '/live/x', b'{}', headers)
+            response = connection.getresponse()
+            if response.status != 200:
+                response.read()
+                return response.status, b''
+            found = b''
+            # A stream that looks complete ends without this error.
+            with pytest.raises(http.client.IncompleteRead):
+                while True:
+                    part = response.read1()
+                    if not part:
+                        return 200, b'complete'
+                    found += part
+            return 200, found
+
+    processes.wait_for(lambda: stream('first')[0] == 200, 'the route is known')
+    world.engines[1].set_faults(cut=0, fail=100)
+    for number in range(6):
+        status, found = stream(number)
+        assert (status, found) in (
+            (500, b''),
+            (200, b''.join(make_event(f's{number}', n) for n in range(3))),
+        )
+
+
+def make_event(request_id, number):
+    """Event that the stand-in generates."""
+    return f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+
+
 def test_item_that_always_fails_is_given_up(launcher):
     """Guards against an item that is retried forever."""
     world = platform_world.World(launcher, daemons=1, engines=1)
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -1,5 +1,6 @@
 """Planned stop of a daemon of a platform deployment, under load."""
 
+import concurrent.futures
 import http.client
 import signal
 import threading
@@ -157,3 +158,55 @@
     assert {order['Holder'] for order in orders} != {holder.name}
     assert holder.name not in {order['Holder'] for order in orders}
     assert holder.exit_status is None
+
+
+@pytest.mark.parametrize('path', ['/long/', '/long-once/'])
+def test_call_that_a_planned_stop_would_cut_is_refused_at_once(launcher, path):
+    """Guards against calls taken late in a stop and cut at its end.
+
+    The replica needs longer for them than the daemon has left.
+    """
+    routes = [
+        {
+            **platform_world.make_route(name, prefix, kind, 'desk'),
+            'TimeoutMs': 9000,
+        }
+        for name, prefix, kind in (
+            ('long', '/long/', 'safe'),
+            ('long-once', '/long-once/', 'unsafe'),
+        )
+    ]
+    world = platform_world.World(launcher, daemons=2)
+    world.write_text(2, routes)
+    leaving, _ = world.daemons
+    processes.wait_for(
+        lambda: call(leaving, path, 'first') == 200, 'the route is known'
+    )
+    leaving.signal(signal.SIGTERM)
+    processes.wait_for(
+        lambda: leaving.read_events('stopping'), 'the stop has begun'
+    )
+    world.plain.set_faults(delay_ms=1000)
+    # The leave time of half a second has not passed.
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        short = pool.submit(call, leaving, '/desk/', 'short')
+        started_s = time.monotonic()
+        assert call(leaving, path, 'long') == 503
+        assert time.monotonic() - started_s < 0.5
+        assert short.result() == 200
+    assert leaving.wait() == 0
+    ran = {run['id'] for run in world.plain.read_journal()['runs']}
+    assert {'first', 'short'} <= ran
+    assert 'long' not in ran
+
+
+def call(daemon, path, request_id):
+    """Sends a call with a long deadline and returns its status."""
+    return daemon.call(
+        'POST',
+        path,
+        {},
+        Host=platform_world.HOST,
+        Lentildeal_Request_Id=request_id,
+        Lentildeal_Deadline_Ms='9000',
+    )[0]
--- a/tests/lib/fake_kernel.py
+++ b/tests/lib/fake_kernel.py
@@ -63,6 +63,9 @@
         """Returns a plug-in by name, or None."""
         return self.plugins.get(name)
 
+    def check_time_left(self, limit_s):
+        """Refuses nothing: this kernel is never stopped."""
+
     def spawn(self, name, function, *arguments):
         """Runs a function in a green thread."""
         self._threads.append(eventlet.spawn(function, *arguments))
