Let the soak limit requests of replicas; keep turns out of their health

The soak switches request limits of replicas on and off among its other faults and checks the users' bound from the journals of the replicas, except where its proxy held requests back.

A call's wait for its turn at a limited replica counted as response time of that replica, which could make it look slow after its limit had ended. It is no longer part of it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -12,6 +12,7 @@
 import time
 import typing
 
+from soak import checker as checker_module
 from soak import clients as clients_module
 from soak import proxy
 from tests.lib import platform_world
@@ -20,6 +21,7 @@
 # Time limit for all work to complete after the last fault.
 SETTLE_S = 60.0
 MAX_FAULT_S = 4.0
+REQUEST_LIMITS = (1.0, 2.0, 5.0)
 # The smallest instances have this memory for a daemon.
 MAX_DAEMON_MB = 136.0
 KEPT_SEEDS = pathlib.Path(__file__).parent / 'seeds.txt'
@@ -38,6 +40,12 @@
         self._store_proxies = []
         self.daemons: list = []
         self._replica_proxies = []
+        # In the order of their proxies.
+        self._replicas = []
+        self._limits: dict[str, checker_module.NamedLimit] = {}
+        self._ended_limits: list[checker_module.NamedLimit] = []
+        # When the connections of each replica were disrupted.
+        self._disrupted: dict[str, list[tuple[float, float]]] = {}
         for number in range(options.engines):
             self._add_engine(f'r{number}')
         self._put_behind_proxy(self.world.plain, 'p0', 'desk', {})
@@ -55,6 +63,7 @@
             self._inject_store_fault,
             self._inject_engine_fault,
             self._take_store_down,
+            self._switch_limit,
             self._publish_text,
         ]
 
@@ -85,10 +94,16 @@
                 function()
         for _, function in pending_reverts:
             function()
+        for name in list(self._limits):
+            self._end_limit(name)
         self.clients.finish()
         checker = self.clients.checker
         checker.check_all_complete()
         checker.check_runs(self._read_runs())
+        for limit in self._ended_limits:
+            checker.check_limit(
+                limit, self._disrupted.get(limit.replica.name, ())
+            )
         for daemon in self.daemons:
             checker.check_memory(daemon.name, daemon.pid, MAX_DAEMON_MB)
         print(
@@ -120,6 +135,7 @@
     ) -> None:
         fault_proxy = proxy.Proxy(replica.port)
         self._replica_proxies.append(fault_proxy)
+        self._replicas.append(replica)
         self.world.write_replica(
             replica_id, service, fault_proxy.address, versions
         )
@@ -174,9 +190,20 @@
         )
 
     def _disrupt_engine_connections(self) -> typing.Callable[[], None]:
-        return self._disrupt(
-            self._rng.choice(self._replica_proxies), proxy.REPLICA_MODES
+        number = self._rng.randrange(len(self._replica_proxies))
+        revert = self._disrupt(
+            self._replica_proxies[number], proxy.REPLICA_MODES
         )
+        started_s = time.monotonic()
+        name = self._replicas[number].name
+
+        def end() -> None:
+            revert()
+            self._disrupted.setdefault(name, []).append(
+                (started_s, time.monotonic())
+            )
+
+        return end
 
     def _disrupt(
         self, fault_proxy: proxy.Proxy, modes: typing.Sequence[proxy.Mode]
@@ -203,6 +230,26 @@
         self.world.store.set_faults(down=True)
         return lambda: self.world.store.set_faults(down=False)
 
+    def _switch_limit(self) -> None:
+        """Lets a replica limit its requests, or ends that.
+
+        A limit lasts until its next turn, since the bound holds only some
+        seconds after it was named.
+        """
+        replica = self._rng.choice([*self.world.engines, self.world.plain])
+        if replica.name in self._limits:
+            self._end_limit(replica.name)
+            return
+        rate = self._rng.choice(REQUEST_LIMITS)
+        replica.set_faults(limit=rate)
+        self._limits[replica.name] = checker_module.NamedLimit(replica, rate)
+
+    def _end_limit(self, name: str) -> None:
+        limit = self._limits.pop(name)
+        limit.end_s = time.monotonic()
+        limit.replica.set_faults(limit=0)
+        self._ended_limits.append(limit)
+
     def _publish_text(self) -> None:
         version = int(time.monotonic() * 10)
         # This write may be refused or lose its response like any other.
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -3,11 +3,66 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
+import math
 import threading
+import time
+import typing
 
 from tests.lib import platform_world
 
 
+# The users' bound on the requests to a replica that limits them.
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA = 5
+# The bound holds from this time after the limit was first named.
+LIMIT_STABLE_S = 3.0
+
+
+@dataclasses.dataclass
+class NamedLimit:
+    """Time in which a replica limits its requests.
+
+    Attributes:
+        replica: Stand-in of the replica.
+        rate: Requests a second that it accepts.
+        start_s: When it began to name the limit.
+        end_s: When it ended to name it.
+    """
+
+    replica: typing.Any
+    rate: float
+    start_s: float = dataclasses.field(default_factory=time.monotonic)
+    end_s: float = math.inf
+
+    def find_excess(
+        self,
+        times_s: list[float],
+        excused: typing.Iterable[tuple[float, float]],
+    ) -> int:
+        """Returns by how many requests some window exceeds the bound.
+
+        Args:
+            times_s: Arrivals of requests.
+            excused: Times in which the connections of the replica held back
+                requests, which arrive together when they are released.
+        """
+        named_s = min((t for t in times_s if t > self.start_s), default=0.0)
+        excused = [(start, end + LIMIT_WINDOW_S) for start, end in excused]
+        counts = [
+            sum(start <= t < start + LIMIT_WINDOW_S for t in times_s)
+            for start in times_s
+            if named_s + LIMIT_STABLE_S <= start
+            and start + LIMIT_WINDOW_S <= self.end_s
+            and not any(
+                a <= start + LIMIT_WINDOW_S and start <= b for a, b in excused
+            )
+        ]
+        bound = LIMIT_FACTOR * self.rate * LIMIT_WINDOW_S + LIMIT_EXTRA
+        return max(0, math.ceil(max(counts, default=0) - bound))
+
+
 class ResponseChecker:
     """Records responses by job and call and checks them on arrival."""
 
@@ -67,6 +122,20 @@
                 if ran:
                     self._add_violation(f'refused job {job_id}: {ran} ran')
 
+    def check_limit(
+        self,
+        limit: NamedLimit,
+        excused: typing.Iterable[tuple[float, float]],
+    ) -> None:
+        """Checks the requests to a replica that limited them."""
+        runs = limit.replica.read_journal()['runs']
+        excess = limit.find_excess([run['at_s'] for run in runs], excused)
+        if excess:
+            self._add_violation(
+                f'{limit.replica.name} got {excess} requests over the bound of'
+                f' its limit of {limit.rate} a second'
+            )
+
     def check_memory(self, name: str, pid: int, limit_mb: float) -> None:
         """Checks the peak memory of a daemon."""
         with open(f'/proc/{pid}/status') as status:
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -182,15 +182,17 @@
         """Sends a call to one replica and reads its response."""
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
-        self._running[replica_id] = self._running.get(replica_id, 0) + 1
-        self._health.record_start(replica.address)
-        try:
-            result = self._send_in_time(replica, route, call, deadline)
-        finally:
-            self._running[replica_id] -= 1
-            self._health.record_end(replica.address)
+        if self._limits.acquire(replica_id, MAX_TURN_WAIT_S):
+            result = self._send_tracked(replica, route, call, deadline)
+        else:
+            result = AttemptResult(
+                replica,
+                None,
+                True,
+                'its request limit leaves no room',
+                is_sent=False,
+            )
         elapsed_s = clock.monotonic_s() - started_s
-        self._record_health(result, elapsed_s)
         if not result.is_success:
             events.emit(
                 'attempt_failed',
@@ -201,6 +203,26 @@
             )
         return result
 
+    def _send_tracked(
+        self,
+        replica: deployment.Replica,
+        route: deployment.Route,
+        call: calls.LiveCall,
+        deadline: clock.Deadline,
+    ) -> AttemptResult:
+        """Records the load and the health that an attempt shows."""
+        replica_id = replica.replica_id
+        started_s = clock.monotonic_s()
+        self._running[replica_id] = self._running.get(replica_id, 0) + 1
+        self._health.record_start(replica.address)
+        try:
+            result = self._send_in_time(replica, route, call, deadline)
+        finally:
+            self._running[replica_id] -= 1
+            self._health.record_end(replica.address)
+        self._record_health(result, clock.monotonic_s() - started_s)
+        return result
+
     def _send_in_time(
         self,
         replica: deployment.Replica,
@@ -215,14 +237,6 @@
         """
         timeout = eventlet.Timeout(max(0.001, deadline.remaining_s))
         try:
-            if not self._limits.acquire(replica.replica_id, MAX_TURN_WAIT_S):
-                return AttemptResult(
-                    replica,
-                    None,
-                    True,
-                    'its request limit leaves no room',
-                    is_sent=False,
-                )
             return self._send(replica, route, call, deadline)
         except eventlet.Timeout as expired:
             if expired is not timeout:
