Ask a limited replica less often whether its weights are loaded

Items and calls keep to the limit; reports and orders are not held back, and a replica that loads is asked 6 times a second. The next report now waits until the limit leaves room, at most one second.

--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -26,6 +26,8 @@
 # A load takes 0.9 s, and longer while others load; reports lag by 0.2 s.
 FIRST_POLL_S = 0.9
 POLL_S = 0.15
+# The same at a replica that limits its requests and leaves no room now.
+LONGEST_POLL_S = 1.0
 # An order that has no effect within this time is sent again. An order that is
 # carried out late, 2 to 12 s after it was sent, is then rejected because its
 # expected order count is outdated.
@@ -160,7 +162,7 @@
                 self._confirm(load)
                 return
             if report.is_busy or (is_ordered and not deadline.has_passed):
-                eventlet.sleep(POLL_S)
+                eventlet.sleep(self._poll_interval_s(load.replica_id))
                 continue
             outcome = self._order(service, replica, load, report)
             if outcome is platform_base.OrderOutcome.ALREADY_LOADED:
@@ -174,6 +176,11 @@
             deadline = clock.Deadline(CONFIRM_S)
             eventlet.sleep(FIRST_POLL_S if is_ordered else CONFLICT_DELAY_S)
 
+    def _poll_interval_s(self, replica_id: ids.ReplicaId) -> float:
+        """Time until the next report of a replica that loads weights."""
+        wait_s = self._limits.wait_s(replica_id)
+        return max(POLL_S, min(wait_s, LONGEST_POLL_S))
+
     def _order(
         self,
         service: ids.ServiceName,
--- a/tests/unit/orders/test_rotation_plugin.py
+++ b/tests/unit/orders/test_rotation_plugin.py
@@ -51,8 +51,27 @@
     return Replica(request.param)
 
 
+class Limits:
+    """Request limits without any, unless the test sets a wait."""
+
+    def __init__(self):
+        self.sent = 0
+        self.room_in_s = 0.0
+
+    def record_sent(self, _replica_id):
+        self.sent += 1
+
+    def wait_s(self, _replica_id):
+        return self.room_in_s
+
+
 @pytest.fixture
-def plugin(platform, monkeypatch):
+def limits():
+    return Limits()
+
+
+@pytest.fixture
+def plugin(platform, limits, monkeypatch):
     monkeypatch.setattr(rotation_plugin, 'FIRST_POLL_S', 0.01)
     monkeypatch.setattr(rotation_plugin, 'CONFLICT_DELAY_S', 0.01)
     table = replicas.ReplicaTable()
@@ -69,7 +88,7 @@
             resign=lambda name, reason: None,
         ),
         'work_log': types.SimpleNamespace(enqueue=lambda record: None),
-        'replica_limits': types.SimpleNamespace(record_sent=lambda r: None),
+        'replica_limits': limits,
     }
     return rotation_plugin.Rotation(
         types.SimpleNamespace(
@@ -79,7 +98,16 @@
     )
 
 
-def test_only_a_load_that_was_ordered_is_measured(plugin, platform):
+def test_reports_of_a_limited_replica_wait_for_room(plugin, limits):
+    """Guards against reports that use up the limit of a loading replica."""
+    assert plugin._poll_interval_s('r1') == rotation_plugin.POLL_S
+    limits.room_in_s = 0.6
+    assert plugin._poll_interval_s('r1') == 0.6
+    limits.room_in_s = 5.0
+    assert plugin._poll_interval_s('r1') == rotation_plugin.LONGEST_POLL_S
+
+
+def test_only_a_load_that_was_ordered_is_measured(plugin, platform, limits):
     """Guards against an estimate that overlaps more loads than allowed.
 
     A replica that holds the version already, or refused the order, has spent
@@ -89,6 +117,8 @@
     plugin._pending['r1'] = rotation_plugin._PendingLoad(load, 0.0)
     plugin._run_load(job_builders.SERVICE, load)
     assert len(platform.orders) == 1
+    # Reports and orders count as requests to the replica.
+    assert limits.sent >= 2
     is_measured = plugin._load_duration.is_over(3600.0)
     is_load = platform.outcome is platform_base.OrderOutcome.ACCEPTED
     assert is_measured == is_load
