Append a limit that stays in force again after a minute

The store keeps records of the work log for some minutes. A daemon that started later than that after a limit was named was not told of it before its first answer. The limit is now appended again once a minute while the replica names it; the new test failed before (one record, trimmed). What others sent to replicas without a limit is no longer kept in memory.

Also tested: limits are shared once and not with each answer, and a daemon cut off from the store takes its share of the limit.

--- a/src/lentildeal/_internal/routing/replica_limits.py
+++ b/src/lentildeal/_internal/routing/replica_limits.py
@@ -24,6 +24,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.routing import rate_limits
 from lentildeal._internal.utils import backoff
+from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import wakeup
 
 # Interval of the log lines about requests to limited replicas.
@@ -35,6 +36,10 @@
 # A turn takes three calls to the store of 4 ms and a few milliseconds on the
 # way each. Without a response a daemon goes by its own share of the limit.
 TURN_TIMEOUT_S = 0.15
+# A limit that stays in force is appended again after this time, in seconds, so
+# that a daemon that starts later finds it among the records that the store
+# keeps.
+REFRESH_S = 60.0
 # A replica that has no entry for this long is forgotten. Entries that expired
 # during an outage of the store are back earlier.
 FORGET_S = 30.0
@@ -77,8 +82,11 @@
         self._directory = kernel.plugin('directory')
         self._log = kernel.plugin('work_log')
         self._table = rate_limits.RateLimitTable()
-        # Limits according to the log, which other daemons know as well.
-        self._shared_rates: dict[ids.ReplicaId, typing.Optional[float]] = {}
+        # Limits according to the log, which other daemons know as well, and
+        # when they were read.
+        self._shared_rates: dict[
+            ids.ReplicaId, tuple[typing.Optional[float], float]
+        ] = {}
         self._unshared_rates: dict[ids.ReplicaId, typing.Optional[float]] = {}
         # Requests that each daemon sent outside of turns, since its start.
         self._totals: dict[tuple[ids.Incarnation, ids.ReplicaId], int] = (
@@ -110,8 +118,10 @@
         """Records the limit, or its absence, in an answer of a replica."""
         if info.is_misdirected:
             return
-        if self._set_rate(replica_id, info.rate_limit, 'answer'):
-            self._unshared_rates[replica_id] = info.rate_limit
+        rate = info.rate_limit
+        is_changed = self._set_rate(replica_id, rate, 'answer')
+        if is_changed or (rate is not None and self._is_outdated(replica_id)):
+            self._unshared_rates[replica_id] = rate
             self._unshared.set()
 
     def record_sent(self, replica_id: ids.ReplicaId) -> None:
@@ -239,7 +249,10 @@
     # Records of the log.
 
     def _apply_named(self, record: records.RateLimitNamed) -> None:
-        self._shared_rates[record.replica_id] = record.rate
+        self._shared_rates[record.replica_id] = (
+            record.rate,
+            clock.monotonic_s(),
+        )
         is_own = record.incarnation == self._kernel.incarnation
         # An answer that is not shared yet is newer than the record.
         if not is_own and record.replica_id not in self._unshared_rates:
@@ -310,14 +323,26 @@
         found: list[records.Record] = [
             records.RateLimitNamed(incarnation, replica_id, rate)
             for replica_id, rate in rates.items()
-            # Another daemon was told the same.
-            if self._shared_rates.get(replica_id) != rate
+            # Otherwise another daemon was told the same.
+            if self._find_shared(replica_id) != rate
+            or self._is_outdated(replica_id)
         ]
         rows = tuple((r, self._totals[incarnation, r]) for r in totals)
         if rows:
             found.append(records.RequestsSent(incarnation, rows))
         return found
 
+    def _find_shared(
+        self, replica_id: ids.ReplicaId
+    ) -> typing.Optional[float]:
+        rate, _ = self._shared_rates.get(replica_id, (None, 0.0))
+        return rate
+
+    def _is_outdated(self, replica_id: ids.ReplicaId) -> bool:
+        """Whether the log has a limit that was named long ago."""
+        rate, read_s = self._shared_rates.get(replica_id, (None, 0.0))
+        return rate is not None and clock.monotonic_s() - read_s > REFRESH_S
+
     def _report(self) -> None:
         while True:
             eventlet.sleep(REPORT_INTERVAL_S)
@@ -346,4 +371,15 @@
                 self._shared_rates.pop(replica_id, None)
             for key in [k for k in self._totals if k[1] in gone & missing]:
                 del self._totals[key]
+            self._forget_unlimited_totals()
             missing = gone
+
+    def _forget_unlimited_totals(self) -> None:
+        """Forgets what others sent before a limit ended.
+
+        If the replica names a limit again, their totals count as one backlog.
+        """
+        for incarnation, replica_id in list(self._totals):
+            is_own = incarnation == self._kernel.incarnation
+            if not is_own and not self.is_limited(replica_id):
+                del self._totals[incarnation, replica_id]
--- a/tests/unit/routing/test_replica_limits.py
+++ b/tests/unit/routing/test_replica_limits.py
@@ -7,7 +7,9 @@
 import pytest
 
 from lentildeal._internal.adapters import platform_base
+from lentildeal._internal.jobs import records
 from lentildeal._internal.models import ids
+from lentildeal._internal.routing import replica_limits
 from tests.lib import fake_store
 from tests.lib import store_kernel
 
@@ -80,3 +82,52 @@
         eventlet.spawn(daemon.acquire, REPLICA, 0.05) for _ in range(20)
     ]
     assert sum(thread.wait() for thread in threads) <= MAX_AT_ONCE
+
+
+def test_limit_in_force_outlives_the_retention_of_the_log(
+    make_daemon, store, monkeypatch
+):
+    """Guards against a new daemon that is not told of a limit named long ago.
+
+    The store keeps records for some minutes only.
+    """
+    monkeypatch.setattr(replica_limits, 'REFRESH_S', 0.3)
+    daemon = make_daemon(1)
+    for _ in range(10):
+        name_limit(daemon)
+        eventlet.sleep(0.1)
+    stream = records.WORK_STREAM
+    named = len(store.streams[stream])
+    assert 2 <= named <= 5
+    store.trim(stream, named - 1)
+    assert make_daemon(2).is_limited(REPLICA)
+
+
+def test_limit_is_shared_once(make_daemon, store):
+    """Guards against records of each answer of a limited replica."""
+    daemons = [make_daemon(number) for number in (1, 2)]
+    for _ in range(5):
+        for daemon in daemons:
+            name_limit(daemon)
+        eventlet.sleep(0.2)
+    # Both may be told before either has read the record of the other.
+    assert 1 <= len(store.streams[records.WORK_STREAM]) <= 2
+    name_limit(daemons[0], None)
+    store_kernel.wait_for(lambda: not daemons[1].is_limited(REPLICA))
+
+
+def test_daemon_cut_off_from_the_store_takes_a_share(make_daemon, store):
+    """Guards against a daemon that stops, or goes on, without the store."""
+    daemons = [make_daemon(number) for number in (1, 2)]
+    name_limit(daemons[0])
+    store_kernel.wait_for(lambda: daemons[1].is_limited(REPLICA))
+    for daemon in daemons:
+        store_kernel.wait_for(lambda d=daemon: d.acquire(REPLICA, 0.1))
+    eventlet.sleep(0.5)
+    store.is_silent = True
+    eventlet.sleep(2.0)
+    sent, until_s = 0, time.monotonic() + 3.0
+    while time.monotonic() < until_s:
+        sent += daemons[0].acquire(REPLICA, 0.05)
+        eventlet.sleep(0.02)
+    assert 3 <= sent <= 0.5 * LIMIT * 3.0 + 1
