Do not check a limit in the soak that no request was told of

The logs of its daemons show no limit at all: it was set after the last request to the replica, and the check took it for one named at time 0, so requests long before it were counted.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -48,7 +48,9 @@
             excused: Times in which the connections of the replica held back
                 requests, which arrive together when they are released.
         """
-        named_s = min((t for t in times_s if t > self.start_s), default=0.0)
+        named_s = min(
+            (t for t in times_s if t > self.start_s), default=math.inf
+        )
         excused = [(start, end + LIMIT_WINDOW_S) for start, end in excused]
         counts = [
             sum(start <= t < start + LIMIT_WINDOW_S for t in times_s)
