--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -27,7 +27,7 @@
 FIRST_POLL_S = 0.9
 POLL_S = 0.15
 # The same at a replica that limits its requests and leaves no room now.
-LONGEST_POLL_S = 1.0
+LONGEST_POLL_S = 0.3
 # An order that has no effect within this time is sent again. An order that is
 # carried out late, 2 to 12 s after it was sent, is then rejected because its
 # expected order count is outdated.
--- a/tests/unit/orders/test_rotation_plugin.py
+++ b/tests/unit/orders/test_rotation_plugin.py
@@ -101,8 +101,8 @@
 def test_reports_of_a_limited_replica_wait_for_room(plugin, limits):
     """Guards against reports that use up the limit of a loading replica."""
     assert plugin._poll_interval_s('r1') == rotation_plugin.POLL_S
-    limits.room_in_s = 0.6
-    assert plugin._poll_interval_s('r1') == 0.6
+    limits.room_in_s = 0.2
+    assert plugin._poll_interval_s('r1') == 0.2
     limits.room_in_s = 5.0
     assert plugin._poll_interval_s('r1') == rotation_plugin.LONGEST_POLL_S
 
