--- a/tests/unit/platform/test_adapter.py
+++ b/tests/unit/platform/test_adapter.py
@@ -70,3 +70,36 @@
         replica = job_builders.make_replica(address=server.address)
         with pytest.raises(exceptions.PlatformError):
             platform.order_version(replica, order)
+
+
+@pytest.mark.parametrize(
+    ('value', 'rate'),
+    [
+        ('3.2', 3.2),
+        (' 12 ', 12.0),
+        ('0', 0.0),
+        ('-1', None),
+        ('1e9', None),
+        ('nan', None),
+        ('inf', None),
+        ('3,2', None),
+        ('1.2.3', None),
+        ('\u00b2', None),
+        ('9' * 30, None),
+        ('', None),
+    ],
+)
+def test_request_limit_is_read_only_from_a_decimal_number(
+    platform, value, rate
+):
+    """Guards against a Server-Limit that stops or floods a replica."""
+    info = platform.read_response(200, {'server-limit': value})
+    assert info.rate_limit == rate
+
+
+def test_answer_of_another_replica_is_marked(platform):
+    """Guards against a limit that is taken for that of the wrong replica."""
+    headers = {'server-limit': '3.2'}
+    assert platform.read_response(421, headers).is_misdirected
+    assert not platform.read_response(503, headers).is_misdirected
+    assert platform.read_response(200, {}).rate_limit is None
