review: a process that starts after the claims have expired is a second holder

Claims of leases leave the log after its retention while they are held. A process that starts then takes every lease for vacant and claims it; both holders go on.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,75 +1,148 @@
-"""A step is asked on a new route while one daemon's connection is silent."""
+"""A daemon restarts when the claims of the leases have left the log."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1] / 'lib'))
 import world as lib  # noqa: E402
 
-MODEL = 'm0'
-GROUPS, SIZE = 10, 4
+# The value under Platform in the settings; 300 in the example of DEPLOY.md.
+RETENTION_S = float(os.environ.get('RETENTION_S', '60'))
+# Results are kept for less than the log.
+STATUS_S = int(0.4 * RETENTION_S)
+MODELS = ('m0', 'm1')
+GROUPS, SIZE = 6, 4
+EVERY_S = 4.0
 BUDGET_S = 12.0
+LEASE_TTL_S = 3.0
+STABLE_S = 3.0
+OVERLAP_S = 0.4
+AFTER_S = 20.0
 
 
-async def case(world, has_trouble):
-    for number in range(6):
-        await world.add(lib.Engine(world, f'e{number}', [MODEL]))
-    old = lib.make_route(
-        'coach', '/coach/', 'rollout', 'engines', Resumable=True, Sticky=True
-    )
-    new = {**old, 'Name': 'resort', 'PathPrefix': '/resort/'}
-    await world.store.publish(lib.make_text(7, [old], [MODEL]))
-    await world.start_daemons(3)
-    holder = await world.find_holder(f'jobs/{MODEL}')
-    other = next(d for d in world.daemons if d is not holder)
-    await asyncio.sleep(3)
+async def train(world, model):
+    """Asks for a step each four seconds, once its version is named."""
+    step = 2
+    while True:
+        started_s = world.record.now()
+        await world.store.name_version(model, step)
+        job = f'{model}s{step:03d}'
+        prefix = f'/{model}/'
+        body = lib.make_job(job, prefix, model, step, step - 1, GROUPS, SIZE)
+        trainer = lib.Trainer(world, job, prefix, body)
+        await call_until_answered(trainer.submit, world.daemons)
+        await trainer.read_until(world.daemons, started_s + BUDGET_S)
+        await call_until_answered(trainer.end, world.daemons)
+        step += 1
+        await asyncio.sleep(
+            max(0.5, started_s + EVERY_S - world.record.now())
+        )
+
+
+async def call_until_answered(call, daemons):
+    """Calls at one daemon after the other until one answers."""
+    for number in range(8):
+        try:
+            if await call(daemons[number % len(daemons)]) in (200, 202):
+                return
+        except (OSError, EOFError, asyncio.TimeoutError):
+            pass
+        await asyncio.sleep(0.3)
+
+
+def find_turns(orders, from_s):
+    """Orders of two machines to one replica within the lease time."""
+    turns = []
+    last = {}
+    for at_s, replica, holder, fence, _ in orders:
+        before = last.get(replica)
+        if (
+            before is not None
+            and before[1] != holder
+            and before[0] >= from_s
+            and at_s - before[0] < LEASE_TTL_S
+        ):
+            turns.append((replica, before[1], holder, round(at_s, 2)))
+        last[replica] = at_s, holder
+    return turns
 
-    def find_watch():
-        """The connection on which the holder reads the manifest."""
-        for connection in world.store.connections:
+
+def find_twins(world, from_s):
+    """Items that run at two replicas at once for longer than 400 ms."""
+    twins = set()
+    open_runs = {}
+    times = [(at, 1, r, i) for at, r, i in world.runs]
+    times += [(at, 0, r, i) for at, r, i, _ in world.ends]
+    spans = []
+    for at_s, is_start, replica, item in sorted(times):
+        if is_start:
+            open_runs.setdefault((replica, item), []).append(at_s)
+        else:
+            started_s = open_runs[replica, item].pop(0)
+            spans.append((item, started_s, at_s, replica))
+    by_item = {}
+    for item, start_s, end_s, replica in spans:
+        for other_start_s, other_end_s, other in by_item.get(item, ()):
+            overlap_s = min(end_s, other_end_s) - max(start_s, other_start_s)
             if (
-                connection.label == holder.name
-                and 'Topic=keyed.op' in connection.current
+                other != replica
+                and overlap_s > OVERLAP_S
+                and min(start_s, other_start_s) >= from_s
             ):
-                return connection
-        return None
+                twins.add(item)
+        by_item.setdefault(item, []).append((start_s, end_s, replica))
+    return twins
 
-    if has_trouble:
-        watch = await world.wait_for(find_watch, 'a read of the manifest')
-        watch.silence()
-        world.record.write(
-            'trouble',
-            f'one of the connections of {holder.name} to the store goes'
-            ' silent, without a reset; new ones work',
+
+async def case(world, has_trouble):
+    world.store.retention_s = RETENTION_S
+    world.status_s = STATUS_S
+    for number in range(6):
+        await world.add(lib.Engine(world, f'e{number}', MODELS))
+    routes = [
+        lib.make_route(
+            model, f'/{model}/', 'rollout', 'engines', Resumable=True,
+            Sticky=True,
         )
-    await world.store.publish(lib.make_text(12, [old, new], [MODEL]))
-    await asyncio.sleep(0.5)
-    body = lib.make_job('b1', '/resort/', MODEL, 1, 1, GROUPS, SIZE)
-    trainer = lib.Trainer(world, 'b1', '/resort/', body)
-    until_s = world.record.now() + BUDGET_S
-    if await trainer.submit(other) != 202:
-        raise lib.CannotRunError('the step was not accepted')
-    await trainer.read_until([other], until_s)
-    ran = {item for _, _, item in world.runs}
-    wrong = [i for i, r in trainer.results.items() if r['State'] == 'down']
-    done = [
-        i
-        for i, r in trainer.results.items()
-        if r['State'] == 'done' and r['Text'] == world.expected_text(i)
+        for model in MODELS
     ]
-    world.record.write(
-        'judge',
-        f'{len(done)} of {len(trainer.items)} items done with their whole'
-        f' text; {len(wrong)} listed as down; {len(ran)} ran at a replica;'
-        ' no replica answered 422 or 500, the job was not ended, its route'
-        ' is in the manifest',
-    )
-    if not has_trouble and len(done) < len(trainer.items):
-        return True, 'items are missing without trouble'
-    return bool(wrong), (
-        f'{len(wrong)} items are listed as down; {len(ran)} ran at a replica'
+    await world.store.publish(lib.make_text(7, routes, MODELS))
+    await world.start_daemons(3)
+    holders = {await world.find_holder('orders/engines')}
+    for model in MODELS:
+        holders.add(await world.find_holder(f'jobs/{model}'))
+    claimed_s = world.record.now()
+    training = [
+        asyncio.ensure_future(train(world, model)) for model in MODELS
+    ]
+    await asyncio.sleep(RETENTION_S + 3)
+    names = sorted(d.name for d in holders)
+    world.record.write('judge', f'holders by their logs: {names}')
+    victim = next(d for d in world.daemons if d not in holders)
+    if has_trouble:
+        await victim.kill()
+        await asyncio.sleep(1.0)
+        await victim.start()
+    started_s = world.record.now()
+    await asyncio.sleep(AFTER_S)
+    for task in training:
+        task.cancel()
+    from_s = started_s + STABLE_S
+    turns = find_turns(world.orders, from_s)
+    twins = find_twins(world, from_s)
+    refused = [o for o in world.orders if o[4] == 412]
+    ordering = sorted({o[2] for o in world.orders if o[0] >= from_s})
+    text = (
+        f'after {started_s + STABLE_S:.1f} s, with all machines in touch,'
+        f' orders came from {ordering}; two machines took turns at a replica'
+        f' within {LEASE_TTL_S:.0f} s {len(turns)} times: {turns[:6]};'
+        f' {len(refused)} orders were refused with 412; {len(twins)} items'
+        f' ran at two replicas at once for over {OVERLAP_S} s'
     )
+    world.record.write('judge', f'claimed by {claimed_s:.1f} s; {text}')
+    return bool(turns), text
 
 
-lib.run_case(case, pathlib.Path(__file__).parent)
+lib.run_case(case, pathlib.Path(__file__).parent, RETENTION_S + 50)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import base64
+import bisect
 import contextlib
 import json
 import os
@@ -34,6 +35,7 @@
     202: 'Accepted',
     404: 'Not Found',
     409: 'Conflict',
+    410: 'Gone',
     412: 'Precondition Failed',
     421: 'Misdirected Request',
     500: 'Internal Server Error',
@@ -44,7 +46,7 @@
 HEARTBEAT_S = 1.2
 LOAD_S = 0.9
 _used_ports: set[int] = set()
-BOUNDS = {'StatusS': 120, 'LeaseTtlMs': 3000, 'DrainMs': 2000}
+BOUNDS = {'LeaseTtlMs': 3000, 'DrainMs': 2000}
 
 
 class Record:
@@ -182,8 +184,10 @@
 
     def __init__(self, record: Record) -> None:
         super().__init__()
+        self.retention_s = 300.0
         self._record = record
         self._topics: dict[str, list[bytes]] = {}
+        self._times: dict[str, list[float]] = {}
         self._changed = asyncio.Condition()
         self._locks: dict[str, asyncio.Lock] = {}
 
@@ -194,10 +198,17 @@
             stream = self._topics.setdefault(topic, [])
             offset = len(stream)
             stream.extend(records)
+            times = self._times.setdefault(topic, [])
+            times.extend([time.monotonic()] * len(records))
         async with self._changed:
             self._changed.notify_all()
         return offset
 
+    def find_first(self, topic: str) -> int:
+        """Offset of the oldest record that has not expired."""
+        oldest_s = time.monotonic() - self.retention_s
+        return bisect.bisect_left(self._times.get(topic, []), oldest_s)
+
     async def put(self, topic: str, key: str, value) -> None:
         """Writes a keyed record; None drops the key."""
         text = b'' if value is None else json.dumps(value).encode()
@@ -265,6 +276,12 @@
         limit = int(request.query.get('MaxKb', '1024')) * 1024
         wait_s = int(request.query.get('WaitMs', '0')) / 1000
 
+        first = self.find_first(topic)
+        if start < first:
+            body = json.dumps({'First': first}).encode()
+            await self.answer(connection, 410, {}, body)
+            return
+
         def has_record():
             return len(self._topics.get(topic, ())) > start
 
@@ -274,7 +291,7 @@
                     self._changed.wait_for(has_record), max(wait_s, 0.001)
                 )
         stream = self._topics.get(topic, [])
-        body = bytearray(PAGE.pack(len(stream), 0))
+        body = bytearray(PAGE.pack(len(stream), first))
         for record in stream[start:]:
             size = len(body) + LENGTH.size + len(record)
             if len(body) > PAGE.size and size > limit:
@@ -295,7 +312,9 @@
         self.slots = slots
         self.zone = zone
         self.address = ''
-        self.running: dict[str, float] = {}
+        # Request of each run.
+        self.running: dict[int, str] = {}
+        self._run_count = 0
         self.work_s = 0.025
         self.is_listed = True
         self.state = 'ready'
@@ -353,6 +372,11 @@
         self._beat.cancel()
         super().crash()
 
+    def _begin(self, request_id: str) -> int:
+        self._run_count += 1
+        self.running[self._run_count] = request_id
+        return self._run_count
+
     def make_headers(self, request_id: str) -> dict:
         """Headers of an answer."""
         self._stamps += 1
@@ -384,13 +408,13 @@
         self._world.runs.append(
             (self._record.now(), self.replica_id, request_id)
         )
-        self.running[request_id] = self._record.now()
+        run = self._begin(request_id)
         try:
             await asyncio.sleep(self.work_s)
             headers = self.make_headers(request_id)
             await self.answer(connection, 200, headers, b'x' * 800)
         finally:
-            del self.running[request_id]
+            del self.running[run]
 
 
 class Engine(Replica):
@@ -471,6 +495,15 @@
             self._highest_fence = max(
                 self._highest_fence, order.get('Fence') or -1
             )
+        self._world.orders.append(
+            (
+                self._record.now(),
+                self.replica_id,
+                order.get('Holder'),
+                order.get('Fence'),
+                status,
+            )
+        )
         self._record.write(
             self.replica_id,
             f'order from {order.get("Holder")}: {model} version {version}'
@@ -526,7 +559,7 @@
         self._world.runs.append(
             (self._record.now(), self.replica_id, item)
         )
-        self.running[item] = self._record.now()
+        run = self._begin(item)
         is_done = False
         try:
             headers = self.make_headers(item)
@@ -555,7 +588,7 @@
             await connection.write(b'0\r\n\r\n')
             is_done = True
         finally:
-            del self.running[item]
+            del self.running[run]
             self._world.ends.append(
                 (self._record.now(), self.replica_id, item, is_done)
             )
@@ -616,9 +649,13 @@
                 'Address': self.store_address,
                 'RecordBytes': 262144,
                 'CallBytes': 2097152,
-                'RetentionS': 300,
+                'RetentionS': int(self._world.store.retention_s),
+            },
+            'Bounds': {
+                **BOUNDS,
+                'RequireFence': True,
+                'StatusS': self._world.status_s,
             },
-            'Bounds': {**BOUNDS, 'RequireFence': True},
             'Limits': {'CpuShare': 0.717, 'Cores': 3},
         }
         template = (ROOT / 'deploy/settings.jsonc.template').read_text()
@@ -686,6 +723,9 @@
         self.runs: list[tuple] = []
         self.ends: list[tuple] = []
         self.lengths: dict[str, int] = {}
+        # Orders: (time, replica, holder, fence, status).
+        self.orders: list[tuple] = []
+        self.status_s = 120
 
     def event_count(self, item: str) -> int:
         """Number of events of an item's text."""
@@ -881,6 +921,8 @@
         self.results: dict[str, dict] = {}
         self.total = None
         self.position = 0
+        # (time, daemon, status) of each read that was answered.
+        self.reads: list[tuple] = []
         self._world = world
         self._prefix = prefix
         self._body = json.dumps(body).encode()
@@ -918,6 +960,7 @@
                 'trainer', f'reads {self.job} at {daemon.name}: {error!r}'
             )
             return
+        self.reads.append((self._world.record.now(), daemon.name, status))
         if status != 200:
             self._world.record.write(
                 'trainer', f'reads {self.job} at {daemon.name}: {status}'
@@ -952,7 +995,7 @@
         return status
 
 
-def run_case(case, directory: pathlib.Path) -> None:
+def run_case(case, directory: pathlib.Path, limit_s: float = 110.0) -> None:
     """Runs a case and exits with 0 (held), 1 (broken) or 2 (cannot run)."""
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
@@ -964,7 +1007,7 @@
             loop.add_signal_handler(number, task.cancel)
         try:
             is_broken, text = await asyncio.wait_for(
-                case(world, has_trouble), 110
+                case(world, has_trouble), limit_s
             )
             text = f'{"BROKEN" if is_broken else "HELD"}: {text}'
             status = 1 if is_broken else 0
