--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -37,6 +37,7 @@
     409: 'Conflict',
     410: 'Gone',
     412: 'Precondition Failed',
+    413: 'Content Too Large',
     421: 'Misdirected Request',
     500: 'Internal Server Error',
     503: 'Service Unavailable',
@@ -45,6 +46,8 @@
 APPEND_S = 0.004
 HEARTBEAT_S = 1.2
 LOAD_S = 0.9
+RECORD_BYTES = 262144
+CALL_BYTES = 2097152
 _used_ports: set[int] = set()
 BOUNDS = {'LeaseTtlMs': 3000, 'DrainMs': 2000}
 
@@ -243,6 +246,14 @@
                 position += LENGTH.size
                 records.append(request.body[position : position + size])
                 position += size
+            if len(request.body) > CALL_BYTES or any(
+                len(record) > RECORD_BYTES for record in records
+            ):
+                self._record.write(
+                    'store', f'refuses an append to {topic}: 413'
+                )
+                await self.answer(connection, 413)
+                return
             offset = await self.append(topic, records)
             end = len(self._topics[topic])
             body = json.dumps({'Offset': offset, 'End': end}).encode()
@@ -575,15 +586,16 @@
                 await asyncio.sleep(self.event_s)
                 if connection.reader.at_eof():
                     raise ConnectionResetError
-                event = f'id: {number}\ndata: {item}/{number}\n\n'
+                data = self._world.make_data(item, number)
+                event = f'id: {number}\ndata: {data}\n\n'
                 if self.versions[model] != version:
                     version = self.versions[model]
                     event = (
                         f'lentildeal-weight-versions: {version}\n{event}'
                     )
-                data = event.encode()
+                chunk = event.encode()
                 await connection.write(
-                    b'%x\r\n%s\r\n' % (len(data), data)
+                    b'%x\r\n%s\r\n' % (len(chunk), chunk)
                 )
             await connection.write(b'0\r\n\r\n')
             is_done = True
@@ -647,8 +659,8 @@
             'Listen': {'Front': self.front, 'Ready': self.ready},
             'Platform': {
                 'Address': self.store_address,
-                'RecordBytes': 262144,
-                'CallBytes': 2097152,
+                'RecordBytes': RECORD_BYTES,
+                'CallBytes': CALL_BYTES,
                 'RetentionS': int(self._world.store.retention_s),
             },
             'Bounds': {
@@ -722,7 +734,9 @@
         # (time, replica, request) of each run that began, and of each end.
         self.runs: list[tuple] = []
         self.ends: list[tuple] = []
+        # Number of events of an item's text, and bytes of each.
         self.lengths: dict[str, int] = {}
+        self.sizes: dict[str, int] = {}
         # Orders: (time, replica, holder, fence, status).
         self.orders: list[tuple] = []
         self.status_s = 120
@@ -731,10 +745,15 @@
         """Number of events of an item's text."""
         return self.lengths.get(item, 25)
 
+    def make_data(self, item: str, number: int) -> str:
+        """Data of an event."""
+        return f'{item}/{number}'.ljust(self.sizes.get(item, 0), 'x')
+
     def expected_text(self, item: str) -> str:
         """The whole output of an item."""
         return '\n'.join(
-            f'{item}/{number}' for number in range(self.event_count(item))
+            self.make_data(item, number)
+            for number in range(self.event_count(item))
         )
 
     async def add(self, replica: Replica) -> Replica:
