--- a/review/1/case.py
+++ b/review/1/case.py
@@ -36,9 +36,7 @@
         await trainer.read_until(world.daemons, started_s + BUDGET_S)
         await call_until_answered(trainer.end, world.daemons)
         step += 1
-        await asyncio.sleep(
-            max(0.5, started_s + EVERY_S - world.record.now())
-        )
+        await asyncio.sleep(max(0.5, started_s + EVERY_S - world.record.now()))
 
 
 async def call_until_answered(call, daemons):
@@ -103,7 +101,11 @@
         await world.add(lib.Engine(world, f'e{number}', MODELS))
     routes = [
         lib.make_route(
-            model, f'/{model}/', 'rollout', 'engines', Resumable=True,
+            model,
+            f'/{model}/',
+            'rollout',
+            'engines',
+            Resumable=True,
             Sticky=True,
         )
         for model in MODELS
@@ -114,9 +116,7 @@
     for model in MODELS:
         holders.add(await world.find_holder(f'jobs/{model}'))
     claimed_s = world.record.now()
-    training = [
-        asyncio.ensure_future(train(world, model)) for model in MODELS
-    ]
+    training = [asyncio.ensure_future(train(world, model)) for model in MODELS]
     await asyncio.sleep(RETENTION_S + 3)
     names = sorted(d.name for d in holders)
     world.record.write('judge', f'holders by their logs: {names}')
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,8 +22,13 @@
         await world.add(lib.Engine(world, f'e{n}', [MODEL])) for n in range(6)
     ]
     route = lib.make_route(
-        'coach', PREFIX, 'rollout', 'engines', SingleVersion=True,
-        Resumable=True, Sticky=True,
+        'coach',
+        PREFIX,
+        'rollout',
+        'engines',
+        SingleVersion=True,
+        Resumable=True,
+        Sticky=True,
     )
     await world.store.publish(lib.make_text(7, [route], [MODEL]))
     await world.start_daemons(3)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -20,7 +20,6 @@
 import signal
 import socket
 import struct
-import sys
 import tempfile
 import time
 import urllib.parse
@@ -314,9 +313,7 @@
 class Replica(Server):
     """One replica of a plain service."""
 
-    def __init__(
-        self, world, replica_id, service, slots=6, zone=ZONE
-    ) -> None:
+    def __init__(self, world, replica_id, service, slots=6, zone=ZONE) -> None:
         super().__init__()
         self.replica_id = replica_id
         self.service = service
@@ -567,9 +564,7 @@
             self.replica_id,
             f'runs {item} from event {first} under version {version}',
         )
-        self._world.runs.append(
-            (self._record.now(), self.replica_id, item)
-        )
+        self._world.runs.append((self._record.now(), self.replica_id, item))
         run = self._begin(item)
         is_done = False
         try:
@@ -579,9 +574,7 @@
             headers['Transfer-Encoding'] = 'chunked'
             lines = ['HTTP/1.1 200 OK']
             lines += [f'{k}: {v}' for k, v in headers.items()]
-            await connection.write(
-                ('\r\n'.join(lines) + '\r\n\r\n').encode()
-            )
+            await connection.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
             for number in range(first, self._world.event_count(item)):
                 await asyncio.sleep(self.event_s)
                 if connection.reader.at_eof():
@@ -590,13 +583,9 @@
                 event = f'id: {number}\ndata: {data}\n\n'
                 if self.versions[model] != version:
                     version = self.versions[model]
-                    event = (
-                        f'lentildeal-weight-versions: {version}\n{event}'
-                    )
+                    event = f'lentildeal-weight-versions: {version}\n{event}'
                 chunk = event.encode()
-                await connection.write(
-                    b'%x\r\n%s\r\n' % (len(chunk), chunk)
-                )
+                await connection.write(b'%x\r\n%s\r\n' % (len(chunk), chunk))
             await connection.write(b'0\r\n\r\n')
             is_done = True
         finally:
