review: records of the runs, and scripts that can't end as broken by mistake

A script that can't write its record or is stopped ends with 2, and a second signal doesn't interrupt the end of its processes. Case 1 also records the claims that each daemon logged.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -129,6 +129,12 @@
     await asyncio.sleep(AFTER_S)
     for task in training:
         task.cancel()
+    for daemon in world.daemons:
+        claims = [
+            (event['duty'], event['term'], event['previous'])
+            for event in daemon.events('duty_claimed')
+        ]
+        world.record.write(daemon.name, f'claimed, by its log: {claims}')
     from_s = started_s + STABLE_S
     turns = find_turns(world.orders, from_s)
     twins = find_twins(world, from_s)
@@ -145,4 +151,6 @@
     return bool(turns), text
 
 
-lib.run_case(case, pathlib.Path(__file__).parent, RETENTION_S + 50)
+lib.run_case(
+    case, pathlib.Path(__file__).with_name('record.txt'), RETENTION_S + 50
+)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -72,4 +72,4 @@
     )
 
 
-lib.run_case(case, pathlib.Path(__file__).parent)
+lib.run_case(case, pathlib.Path(__file__).with_name('record.txt'))
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -714,8 +714,8 @@
 class World:
     """All parts of a case; ends every process that it started."""
 
-    def __init__(self, directory: pathlib.Path) -> None:
-        self.record = Record(directory / 'record.txt')
+    def __init__(self, record_path: pathlib.Path) -> None:
+        self.record = Record(record_path)
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.store = Store(self.record)
         self.daemons: list[Daemon] = []
@@ -793,6 +793,8 @@
 
     async def close(self) -> None:
         """Ends all processes and servers."""
+        for daemon in self.daemons:
+            daemon.signal(signal.SIGKILL)
         for daemon in self.daemons:
             await daemon.kill()
         for server in (self.store, *self.replicas):
@@ -1003,12 +1005,19 @@
         return status
 
 
-def run_case(case, directory: pathlib.Path, limit_s: float = 110.0) -> None:
-    """Runs a case and exits with 0 (held), 1 (broken) or 2 (cannot run)."""
+def run_case(case, record_path: pathlib.Path, limit_s: float = 110.0) -> None:
+    """Runs a case and exits with 0 (held), 1 (broken) or 2 (cannot run).
+
+    Args:
+        case: Coroutine function that returns whether the rule was broken, and
+            a text.
+        record_path: File with what was sent, answered and run.
+        limit_s: Time after which the case counts as one that cannot run.
+    """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def play() -> None:
-        world = World(directory)
+        world = World(record_path)
         loop = asyncio.get_running_loop()
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -1023,10 +1032,18 @@
             text = f'CANNOT RUN: {error!r}'
             status = 2
         finally:
+            # A second signal must not interrupt the end of the processes.
+            for number in (signal.SIGTERM, signal.SIGINT):
+                loop.add_signal_handler(number, lambda: None)
             await world.close()
         world.record.write('verdict', text)
         print(text, flush=True)
         # All processes have ended; tasks of the stand-ins need no clean end.
         os._exit(status)
 
-    asyncio.run(play())
+    try:
+        asyncio.run(play())
+    except BaseException as error:
+        # Python's own status for an exception would count as a broken rule.
+        print(f'CANNOT RUN: {error!r}', flush=True)
+        os._exit(2)
