Open a job only with the text that allows it

Callers saw all items of a step on a route that was just added listed as given up; no replica had seen one of them.

Cause: the holder of a lease reads texts and the work log independently. When its read of the texts hangs at a silent connection, it reads the job first, knows no route for its items, and gives them up as if the route were removed.

The accepting daemon now appends the version of its text with the job, in a record of its own, as older releases do not read jobs with more fields. A holder opens the job once it knows that text or a newer one; otherwise it reads the newest text at once, beside its follower. So every verdict that a text decides (route removed, age, number of errors, versions in a sample) is reached with a text at least as new as that of the acceptance.

--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -4,6 +4,7 @@
 
 import typing
 
+import eventlet
 import prometheus_client
 
 from lentildeal._internal.adapters import platform_base
@@ -19,6 +20,9 @@
 from lentildeal._internal.utils import read_pacing
 from lentildeal._internal.utils import wakeup
 
+# Delay after a failed read of a newer text.
+TEXT_RETRY_S = 0.1
+
 _unreadable_total = prometheus_client.Counter(
     'lentildeal_unreadable_records_total',
     'Directory records that are not in their published form.',
@@ -39,6 +43,7 @@
         self._text: typing.Optional[deployment.PublishedText] = None
         self._versions: dict[ids.ModelName, ids.Version] = {}
         self._reachable: dict[str, bool] = {}
+        self._is_reading_text = False
 
     @property
     def text(self) -> typing.Optional[deployment.PublishedText]:
@@ -71,6 +76,36 @@
         """See the base class."""
         self.platform.reload(settings)
 
+    def request_text(self, version: int) -> None:
+        """Reads the newest text at once because a newer one is in effect.
+
+        The follower may wait at a connection that has gone silent.
+
+        Args:
+            version: Version that another daemon has seen.
+        """
+        if self._is_reading_text:
+            return
+        self._is_reading_text = True
+        events.emit(
+            'text_outdated',
+            version=None if self._text is None else self._text.version,
+            required=version,
+        )
+        self._kernel.spawn('read-text', self._read_text)
+
+    def _read_text(self) -> None:
+        stream = self.platform.directory_streams[0]
+        try:
+            found, _ = self.platform.store.read_newest(stream)
+            self.handle_snapshot(stream, found)
+        except exceptions.PlatformError as error:
+            # Requested again as long as the text is needed.
+            events.emit('text_read_failed', reason=error.message)
+            eventlet.sleep(TEXT_RETRY_S)
+        finally:
+            self._is_reading_text = False
+
     def handle_snapshot(
         self, stream: str, records: list[platform_base.KeyedRecord]
     ) -> None:
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -75,17 +75,17 @@
 
     def __init__(self, kernel) -> None:
         super().__init__(kernel)
+        self._directory = kernel.plugin('directory')
         self._log = kernel.plugin('work_log')
         self._lease_manager = kernel.plugin('duties')
         self._runner = runner.JobRunner(kernel)
 
     def start(self) -> None:
         """See the base class."""
-        directory = self._kernel.plugin('directory')
         self._kernel.spawn('job-runner', self._runner.run)
         for name, source in (
             ('work-log', self._log.changed),
-            ('directory', directory.changed),
+            ('directory', self._directory.changed),
             ('duties', self._lease_manager.changed),
         ):
             self._kernel.spawn(
@@ -200,16 +200,17 @@
         deadline = clock.Deadline(SUBMIT_TIMEOUT_S)
         delays = backoff.Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         accepted: typing.Optional[records.JobAccepted] = None
+        text_version = self._directory.text.version
         while True:
             timeout_s = max(MIN_APPEND_TIMEOUT_S, deadline.remaining_s)
             try:
                 if accepted is None:
                     accepted = self._store_items(job, parts, timeout_s)
-                self._log.append([accepted])
+                self._append_accepted(accepted, text_version)
                 return
             except exceptions.LogAnswerLostError as error:
                 if accepted is not None:
-                    self._find_outcome(accepted)
+                    self._find_outcome(accepted, text_version)
                     return
                 # Items without an accepted job do not run.
                 failure: exceptions.PlatformError = error
@@ -259,7 +260,20 @@
             ),
         )
 
-    def _find_outcome(self, accepted: records.JobAccepted) -> None:
+    def _append_accepted(
+        self, accepted: records.JobAccepted, text_version: int
+    ) -> None:
+        """Appends the record of a job and the text that allows the job.
+
+        Raises:
+            exceptions.PlatformError: The job may not be in the log.
+        """
+        job_id = accepted.job_head.job_id
+        self._log.append([records.JobText(job_id, text_version), accepted])
+
+    def _find_outcome(
+        self, accepted: records.JobAccepted, text_version: int
+    ) -> None:
         """Determines whether an append without a response took effect.
 
         If not, the append is retried, which is safe as only the first record
@@ -274,7 +288,7 @@
             try:
                 self._log.sync()
                 if not self._is_known(job_id):
-                    self._log.append([accepted])
+                    self._append_accepted(accepted, text_version)
                 return
             except exceptions.PlatformError:
                 # The outcome is unknown; retried until the deadline.
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -226,6 +226,23 @@
     number: int
 
 
+@register_record(12)
+@dataclasses.dataclass(frozen=True)
+class JobText:
+    """Published text under which a job was accepted.
+
+    It precedes the record of the job in the same append. It is not a field of
+    that record because older releases do not read records with more fields.
+
+    Attributes:
+        job_id: The job.
+        text_version: Version of the text.
+    """
+
+    job_id: ids.JobId
+    text_version: int
+
+
 # Records of the text streams.
 @register_record(16)
 @dataclasses.dataclass(frozen=True)
@@ -268,6 +285,7 @@
     RateLimitNamed,
     RequestsSent,
     RequestTurn,
+    JobText,
 ]
 Payload = typing.Union[JobPart, EventTexts]
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -17,6 +17,7 @@
 from lentildeal._internal.jobs import recording
 from lentildeal._internal.jobs import scheduling
 from lentildeal._internal.jobs import scoring
+from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
@@ -109,10 +110,22 @@
         for entry in self._log.table.iter_open():
             if entry.head.job_id in self._jobs:
                 continue
-            if self._holds_lease(entry.head.model):
+            if self._holds_lease(entry.head.model) and self._has_text(entry):
                 job = self._jobs[entry.head.job_id] = open_jobs.OpenJob(entry)
                 self._kernel.spawn('job-load', self._load_items, job)
 
+    def _has_text(self, entry: table.JobEntry) -> bool:
+        """Whether the text that allowed a job, or a newer one, is known.
+
+        The text and the log are read independently. By an older text the
+        routes of the job may not exist, and its items would be given up.
+        """
+        text = self._directory.text
+        if text is not None and text.version >= entry.text_version:
+            return True
+        self._directory.request_text(entry.text_version)
+        return False
+
     def _close_finished(self) -> None:
         for job_id, job in list(self._jobs.items()):
             is_lost = self._lease_manager.is_taken_over(
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -42,9 +42,17 @@
 
 
 class JobEntry:
-    """State of a job that is kept in memory."""
+    """State of a job that is kept in memory.
 
-    def __init__(self, accepted: records.JobAccepted) -> None:
+    Attributes:
+        text_version: Version of the published text under which the job was
+            accepted, 0 if unknown.
+    """
+
+    def __init__(
+        self, accepted: records.JobAccepted, text_version: int = 0
+    ) -> None:
+        self.text_version = text_version
         self.head = accepted.job_head
         self.item_ids = accepted.item_ids
         # Index of the first item of each part, and location of the part.
@@ -114,6 +122,8 @@
             ids.ItemId, tuple[ids.JobId, ListedResult]
         ] = {}
         self._first_jobs: dict[ids.ItemId, ids.JobId] = {}
+        # Texts of jobs whose own record follows.
+        self._text_versions: dict[ids.JobId, int] = {}
 
     def get(self, job_id: ids.JobId) -> typing.Optional[JobEntry]:
         """Returns a job, None if it is unknown."""
@@ -148,6 +158,9 @@
         """Applies a record and returns whether it changed the state."""
         if isinstance(record, records.JobAccepted):
             return self._apply_job(record)
+        if isinstance(record, records.JobText):
+            self._text_versions[record.job_id] = record.text_version
+            return False
         entry = self._jobs.get(getattr(record, 'job_id', ids.JobId('')))
         if entry is None:
             return False
@@ -187,10 +200,11 @@
 
     def _apply_job(self, accepted: records.JobAccepted) -> bool:
         head = accepted.job_head
+        text_version = self._text_versions.pop(head.job_id, 0)
         if head.job_id in self._jobs:
             # Duplicate submission.
             return False
-        self._jobs[head.job_id] = JobEntry(accepted)
+        self._jobs[head.job_id] = JobEntry(accepted, text_version)
         for item_id in accepted.item_ids:
             self._first_jobs.setdefault(item_id, head.job_id)
         return True
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -168,6 +168,17 @@
     'A version of the published text took effect.',
     version='Its version.',
 )
+define(
+    'text_outdated',
+    'A job was accepted under a published text that the daemon has not read.',
+    version='Version that the daemon knows.',
+    required='Version under which the job was accepted.',
+)
+define(
+    'text_read_failed',
+    'The newest published text could not be read; the read is repeated.',
+    reason='Error.',
+)
 define(
     'version_named',
     'A trainer announced a version.',
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -39,6 +39,7 @@
                 platform=types.SimpleNamespace(store=store),
                 replicas=replicas.ReplicaTable(),
                 text=job_builders.make_published_text(),
+                request_text=lambda version: None,
                 is_loaded=True,
                 read_demand=read_pacing.ReadDemand(),
             ),
--- a/tests/unit/directory/test_withdrawn_routes.py
+++ b/tests/unit/directory/test_withdrawn_routes.py
@@ -2,10 +2,12 @@
 
 import types
 
+import eventlet
 import pytest
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.directory import plugin
+from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from tests.lib import job_builders
 
@@ -31,7 +33,11 @@
         decode_change=lambda _, record: record,
     )
     monkeypatch.setattr(platform_base, 'make_platform', lambda _: platform)
-    return plugin.Directory(types.SimpleNamespace(settings=None))
+    return plugin.Directory(
+        types.SimpleNamespace(
+            settings=None, spawn=lambda _, function: eventlet.spawn(function)
+        )
+    )
 
 
 def test_withdrawn_route_stays_withdrawn(directory):
@@ -59,3 +65,30 @@
     directory.handle_snapshot(STREAM, [older])
     directory.handle_record(STREAM, older)
     assert directory.announced_version('m') == 5
+
+
+def test_requested_text_is_read_beside_a_silent_connection(
+    directory, monkeypatch
+):
+    # Guards against a daemon that learns of a new route only when the read of
+    # its follower times out, and against one read that failed.
+    monkeypatch.setattr(plugin, 'TEXT_RETRY_S', 0.01)
+    answers = [
+        exceptions.LogUnavailableError('no answer'),
+        ([make_change(2, '/kept', '/added')], 1),
+    ]
+
+    def read_newest(stream):
+        assert stream == STREAM
+        answer = answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    directory.platform.store = types.SimpleNamespace(read_newest=read_newest)
+    directory.handle_snapshot(STREAM, [make_change(1, '/kept')])
+    with eventlet.Timeout(5.0):
+        while directory.text.version < 2:
+            directory.request_text(2)
+            eventlet.sleep(0.005)
+    assert directory.text.find_route(job_builders.HOST, '/added') is not None
--- a/tests/unit/jobs/test_plugin.py
+++ b/tests/unit/jobs/test_plugin.py
@@ -88,3 +88,14 @@
     elapsed_s, retry_after_s = refuse(unread)
     assert elapsed_s < 0.1
     assert math.isfinite(retry_after_s)
+
+
+def test_job_names_the_text_under_which_it_was_accepted(kernel):
+    # Guards against a holder with an older text that judges the job by it.
+    kernel.plugin('directory').text = job_builders.make_published_text(
+        version=12
+    )
+    submit(kernel)
+    table = kernel.plugin('work_log').table
+    store_kernel.wait_for(lambda: table.get('job'))
+    assert table.get('job').text_version == 12
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -90,7 +90,7 @@
     return kernel.plugins['work_log']
 
 
-def submit(log, job_id, item_ids, **overrides):
+def submit(log, job_id, item_ids, text_version=1, **overrides):
     items = [
         job_builders.make_item(item_id, **overrides) for item_id in item_ids
     ]
@@ -101,11 +101,12 @@
     )
     log.append(
         [
+            records.JobText(job_id, text_version),
             records.JobAccepted(
                 accepted.head,
                 accepted.item_ids,
                 ((0, location.offset, location.size_bytes),),
-            )
+            ),
         ]
     )
 
@@ -178,3 +179,42 @@
     store_kernel.wait_for(
         lambda: {'i0', 'i1', 'i2', 'i3'} <= set(engines.runs)
     )
+
+
+def test_job_of_an_added_route_waits_for_the_text_that_adds_it(
+    kernel, log, engines
+):
+    """Guards against items that are given up by an outdated text.
+
+    The holder of the lease reads the log before the text with the new route.
+    """
+    directory = kernel.plugins['directory']
+    requested = []
+    directory.request_text = requested.append
+    directory.text = job_builders.make_published_text(
+        job_builders.make_route(path_prefix='/other/')
+    )
+    directory.replicas.apply(
+        deployment.ReplicaChange('r1', job_builders.make_replica('r1'))
+    )
+    submit(log, 'job', ('i0', 'i1'), text_version=2)
+    store_kernel.wait_for(lambda: log.table.get('job'))
+    eventlet.sleep(2 * runner_module.IDLE_POLL_INTERVAL_S)
+    assert log.table.get('job').results == []
+    assert set(requested) == {2}
+    directory.text = job_builders.make_published_text(version=2)
+    store_kernel.wait_for(lambda: {'i0', 'i1'} <= set(engines.runs))
+    assert log.table.get('job').results == []
+
+
+def test_items_of_a_removed_route_are_given_up(kernel, log):
+    # Guards against a job that waits for a route that is gone for good.
+    submit(log, 'job', ('i0', 'i1'), text_version=2)
+    kernel.plugins['directory'].text = job_builders.make_published_text(
+        job_builders.make_route(path_prefix='/other/'), version=3
+    )
+    store_kernel.wait_for(
+        lambda: log.table.get('job') and log.table.get('job').is_complete
+    )
+    states = {result.state for result in log.table.get('job').results}
+    assert states == {jobs.ResultState.GIVEN_UP}
