Infer a lease in force from its renewals when its claim has expired

Callers saw nothing at first; replicas got orders of two daemons, and items ran at two replicas at once, without end, once a daemon had restarted later than the retention of the store after the claims.

Cause: a lease was folded from its claim alone. The store drops the claim, the renewals that remain were ignored as of an unknown term, and the lease was taken as never claimed; the new claim was valid for its claimant and invalid for all older processes.

A renewal or resignation of a higher term than known now shows a claim that was not read. A count of renewals can't be known then, so claims state up to which offset their claimant has read, in a record of their own, and are judged by that; older releases go on judging them by the count. The same holds after a gap in reading. The refresh interval of request limits follows the retention.

--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -378,7 +378,7 @@
         ]
         sent_s = clock.uptime_s()
         try:
-            self._log.append(claims)
+            self._log.append([self._log.leases.make_basis(), *claims])
             self._log.sync()
         except exceptions.PlatformError:
             # If the claims took effect anyway, the next check finds their
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -243,6 +243,21 @@
     text_version: int
 
 
+@register_record(13)
+@dataclasses.dataclass(frozen=True)
+class ClaimBasis:
+    """What the claimant of the claims that follow in the append has read.
+
+    It is not a field of the claims because older releases do not read claims
+    with more fields.
+
+    Attributes:
+        read_until: Offset of the last record about leases that it has read.
+    """
+
+    read_until: ids.Offset
+
+
 # Records of the text streams.
 @register_record(16)
 @dataclasses.dataclass(frozen=True)
@@ -286,6 +301,7 @@
     RequestsSent,
     RequestTurn,
     JobText,
+    ClaimBasis,
 ]
 Payload = typing.Union[JobPart, EventTexts]
 
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -230,12 +230,13 @@
             exceptions.LogUnavailableError: The log did not respond.
         """
         while True:
+            start = self._next
             try:
                 page = self._store.read(
-                    records.WORK_STREAM, self._next, limit_bytes=READ_BYTES
+                    records.WORK_STREAM, start, limit_bytes=READ_BYTES
                 )
             except exceptions.LogTrimmedError as error:
-                self._next = ids.Offset(max(error.oldest, self._next + 1))
+                self._skip_to(max(error.oldest, start + 1))
                 continue
             self._apply_page(page)
             if self._next >= page.end:
@@ -294,17 +295,18 @@
         )
         started_s = clock.monotonic_s()
         while True:
+            start = self._next
             try:
                 page = self._store.read(
                     records.WORK_STREAM,
-                    self._next,
+                    start,
                     # Without long polling the end of an outage is detected
                     # sooner.
                     wait_s=READ_WAIT_S if self._may_wait else 0.0,
                     limit_bytes=READ_BYTES,
                 )
             except exceptions.LogTrimmedError as error:
-                self._next = ids.Offset(max(error.oldest, self._next + 1))
+                self._skip_to(max(error.oldest, start + 1))
                 continue
             except exceptions.PlatformError as error:
                 if isinstance(error, exceptions.LogOverloadedError):
@@ -358,11 +360,28 @@
             # Pages read by sync() and by the follower may overlap.
             if raw.offset < self._next:
                 continue
+            self._skip_to(raw.offset)
             self._next = ids.Offset(raw.offset + 1)
             is_change = self._apply(raw.offset, raw.body) or is_change
         if is_change:
             self.changed.set()
 
+    def _skip_to(self, offset: int) -> None:
+        """Continues at an offset if the store has dropped records before it.
+
+        Another green thread may have read further in the meantime.
+        """
+        if offset <= self._next:
+            return
+        events.emit(
+            'log_records_skipped',
+            stream=records.WORK_STREAM,
+            first=self._next,
+            next=offset,
+        )
+        self._next = ids.Offset(offset)
+        self.leases.skip_to(self._next)
+
     def _apply(self, offset: ids.Offset, body: bytes) -> bool:
         try:
             record = records.decode(body)
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -168,6 +168,13 @@
     'A version of the published text took effect.',
     version='Its version.',
 )
+define(
+    'log_records_skipped',
+    'Records were dropped by the store before the daemon read them.',
+    stream='Stream of the records.',
+    first='Offset of the first record that was not read.',
+    next='Offset at which reading continues.',
+)
 define(
     'text_outdated',
     'A job was accepted under a published text that the daemon has not read.',
--- a/src/lentildeal/_internal/routing/replica_limits.py
+++ b/src/lentildeal/_internal/routing/replica_limits.py
@@ -36,10 +36,11 @@
 # A turn takes three calls to the store of 4 ms and a few milliseconds on the
 # way each. Without a response a daemon goes by its own share of the limit.
 TURN_TIMEOUT_S = 0.15
-# A limit that stays in force is appended again after this time, in seconds, so
-# that a daemon that starts later finds it among the records that the store
-# keeps.
+# A limit that stays in force is appended again after this time, in seconds, or
+# this part of the time for which the store keeps records, so that a daemon
+# that starts later finds it.
 REFRESH_S = 60.0
+REFRESH_SHARE = 0.25
 # A replica that has no entry for this long is forgotten. Entries that expired
 # during an outage of the store are back earlier.
 FORGET_S = 30.0
@@ -341,7 +342,9 @@
     def _is_outdated(self, replica_id: ids.ReplicaId) -> bool:
         """Whether the log has a limit that was named long ago."""
         rate, read_s = self._shared_rates.get(replica_id, (None, 0.0))
-        return rate is not None and clock.monotonic_s() - read_s > REFRESH_S
+        retention_s = self._kernel.settings.store.retention_s
+        refresh_s = min(REFRESH_S, REFRESH_SHARE * retention_s)
+        return rate is not None and clock.monotonic_s() - read_s > refresh_s
 
     def _report(self) -> None:
         while True:
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -14,6 +14,7 @@
 from tests.lib import job_builders
 
 WAIT_S = 10.0
+RETENTION_S = 300.0
 
 
 class StoreKernel:
@@ -31,7 +32,10 @@
         self.settings = types.SimpleNamespace(
             instance='a',
             store=types.SimpleNamespace(
-                call_bytes=2_000_000, record_bytes=262_144, status_s=status_s
+                call_bytes=2_000_000,
+                record_bytes=262_144,
+                retention_s=RETENTION_S,
+                status_s=status_s,
             ),
         )
         self.plugins = {
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import leases
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import texts as texts_module
 from lentildeal._internal.jobs import work_log
@@ -170,6 +171,28 @@
     store_kernel.wait_for(lambda: entry_of(log))
 
 
+def test_claim_that_the_store_has_dropped_leaves_its_lease_held(store):
+    # Guards against a process that starts later than the retention of the
+    # store after the claim, and becomes a second holder of the lease.
+    with contextlib.closing(store_kernel.StoreKernel(store)) as kernel:
+        holder = kernel.add_work_log()
+        store_kernel.wait_for(lambda: holder.is_caught_up)
+        holder.append(
+            [
+                holder.leases.make_basis(),
+                holder.leases.make_claim('jobs/m', 'a', 1),
+            ]
+        )
+        store_kernel.wait_for(lambda: holder.leases.get('jobs/m').holder)
+        term = holder.leases.get('jobs/m').term
+        holder.append([records.Renewal((('jobs/m', term),))])
+        store.trim(records.WORK_STREAM, 2)
+        started = work_log.WorkLog(store_kernel.StoreKernel(store))
+        started.sync()
+    state = started.leases.get('jobs/m')
+    assert (state.term, state.holder) == (term, leases.UNKNOWN_HOLDER)
+
+
 def test_adjacent_texts_are_read_in_one_call(store, log):
     # Guards against one call to the store for each result of a page.
     log.append([job_builders.make_accepted(item_ids=tuple('abcdefgh'))])
--- a/tests/unit/routing/test_replica_limits.py
+++ b/tests/unit/routing/test_replica_limits.py
@@ -84,14 +84,17 @@
     assert sum(thread.wait() for thread in threads) <= MAX_AT_ONCE
 
 
+@pytest.mark.parametrize('refresh_s, retention_s', [(0.3, 300.0), (60.0, 1.2)])
 def test_limit_in_force_outlives_the_retention_of_the_log(
-    make_daemon, store, monkeypatch
+    make_daemon, store, monkeypatch, refresh_s, retention_s
 ):
     """Guards against a new daemon that is not told of a limit named long ago.
 
-    The store keeps records for some minutes only.
+    The store keeps records for some minutes only, or for less than the usual
+    interval at which a limit is appended again.
     """
-    monkeypatch.setattr(replica_limits, 'REFRESH_S', 0.3)
+    monkeypatch.setattr(replica_limits, 'REFRESH_S', refresh_s)
+    monkeypatch.setattr(store_kernel, 'RETENTION_S', retention_s)
     daemon = make_daemon(1)
     for _ in range(10):
         name_limit(daemon)
