Generate an item anew when no replica can continue its text

Trainers saw steps of a route with SingleVersion run out of time while all replicas were idle: items that had begun at a replica that was then lost were sent nowhere again.

Cause: an item that has events demands their version of its next replica, and nothing dropped the events when no replica had that version any more. Ruled out: the replicas, which had free slots and a version that the step accepts, and avoidance after failures, which ends after 4 s at the latest.

An item that no replica can continue starts anew, at once if no replica has its version, after a second if those that have it are busy or fail, and only when a replica with a version that the step accepts has room.

Without the decision three new tests fail (test_single_version_item_is_generated_anew_without_its_version twice, test_blocked_item_keeps_its_text_while_its_version_may_be_free_soon).

--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -335,12 +335,29 @@
             route = self._find_route(task)
             if route is None:
                 continue
-            chosen = scheduling.choose_replica(
-                task.make_requirements(route.is_single_version),
-                self._list_candidates(route, task.entry.head.model),
-            )
-            if chosen is not None and not chosen.is_avoided:
-                self._start_attempt(task, chosen)
+            requirements = task.make_requirements(route.is_single_version)
+            candidates = self._list_candidates(route, task.entry.head.model)
+            chosen = scheduling.choose_replica(requirements, candidates)
+            if chosen is None or chosen.is_avoided:
+                chosen = scheduling.choose_for_restart(
+                    requirements, candidates, task.record_blocked()
+                )
+                if chosen is None or chosen.is_avoided:
+                    continue
+                self._discard_progress(task, requirements.required_version)
+            self._start_attempt(task, chosen)
+
+    def _discard_progress(
+        self, task: tasks.ItemTask, version: ids.Version
+    ) -> None:
+        events.emit(
+            'item_restarted',
+            item=task.item.item_id,
+            job=task.entry.head.job_id,
+            version=version,
+            events=len(task.progress.events),
+        )
+        task.progress = jobs.Progress()
 
     def _score_generated(self) -> None:
         self._scorer.start_due(
@@ -365,8 +382,7 @@
             task.entry.head.min_version,
             lambda info: self._record_info(replica.replica_id, info),
         )
-        task.attempt = attempt
-        task.attempt_count += 1
+        task.record_start(attempt)
         self._replica_tracker.record_start(replica.replica_id)
         self._limits.record_sent(replica.replica_id)
         events.emit(
--- a/src/lentildeal/_internal/jobs/scheduling.py
+++ b/src/lentildeal/_internal/jobs/scheduling.py
@@ -34,6 +34,9 @@
 # Moving costs a prefill and an event, so an item that is nearly complete is
 # not moved.
 MOVE_MIN_LEFT_EVENTS = 5
+# Time for which an item waits for a replica with the version of its text, and
+# is then generated anew. A replica that refuses is tried again sooner.
+RESTART_WAIT_S = 1.0
 # Bounds the expected number of attempts at a replica that always fails.
 MIN_SUCCESS_RATE = 0.05
 # Maximum number of moves of one item for pace; more would react to noise.
@@ -165,6 +168,36 @@
     return candidate.version >= requirements.min_version
 
 
+def choose_for_restart(
+    requirements: Requirements,
+    candidates: typing.Sequence[Candidate],
+    blocked_s: float,
+) -> typing.Optional[Candidate]:
+    """Chooses a replica at which a blocked item is generated anew.
+
+    A text of a single version can only be continued at a replica with that
+    version. There may be none any more, as replicas leave and never return to
+    a version, or only ones that are busy or fail.
+
+    Args:
+        requirements: Requirements of the item.
+        candidates: All replicas.
+        blocked_s: Time for which no replica could continue the item.
+
+    Returns:
+        The replica, None to wait.
+    """
+    version = requirements.required_version
+    if version is None:
+        return None
+    has_version = any(c.version == version for c in candidates)
+    if has_version and blocked_s < RESTART_WAIT_S:
+        return None
+    return choose_replica(
+        dataclasses.replace(requirements, required_version=None), candidates
+    )
+
+
 def is_unresponsive(
     *,
     silence_s: float,
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -61,6 +61,7 @@
         self.moves = 0
         self.excluded: set[ids.ReplicaId] = set()
         self.created_s = clock.monotonic_s()
+        self._blocked_since_s: typing.Optional[float] = None
         self._retry_at_s = 0.0
         self._retry_delays = backoff.Backoff(
             FIRST_SUSPECT_DELAY_S, MAX_SUSPECT_DELAY_S
@@ -87,6 +88,19 @@
                 clock.monotonic_s() + self._retry_delays.next_delay_s()
             )
 
+    def record_blocked(self) -> float:
+        """Records that no replica takes the item; returns since how long."""
+        now_s = clock.monotonic_s()
+        if self._blocked_since_s is None:
+            self._blocked_since_s = now_s
+        return now_s - self._blocked_since_s
+
+    def record_start(self, attempt: attempts.Attempt) -> None:
+        """Records the start of an attempt."""
+        self.attempt = attempt
+        self.attempt_count += 1
+        self._blocked_since_s = None
+
     @property
     def is_unscored(self) -> bool:
         """Whether the item waits for the score of its text."""
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -175,6 +175,14 @@
     first='Offset of the first record that was not read.',
     next='Offset at which reading continues.',
 )
+define(
+    'item_restarted',
+    'An item is generated anew, as no replica can continue its text.',
+    item='The item.',
+    job='Its job.',
+    version='Version that generated the text.',
+    events='Events of the text, which are discarded.',
+)
 define(
     'text_outdated',
     'A job was accepted under a published text that the daemon has not read.',
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -218,3 +218,39 @@
     )
     states = {result.state for result in log.table.get('job').results}
     assert states == {jobs.ResultState.GIVEN_UP}
+
+
+@pytest.mark.parametrize('is_lost', [True, False])
+def test_single_version_item_is_generated_anew_without_its_version(
+    kernel, log, engines, is_lost
+):
+    """Guards against an item that waits for a version that no replica has.
+
+    Its replica is lost for good, or stays in the directory and fails. The step
+    accepts the version of the other replica.
+    """
+    directory = kernel.plugins['directory']
+    directory.text = job_builders.make_published_text(
+        job_builders.make_route(is_single_version=True)
+    )
+    old = job_builders.make_replica('r1')
+    directory.replicas.apply(deployment.ReplicaChange('r1', old))
+    submit(log, 'job', ('i0',))
+    store_kernel.wait_for(lambda: 'i0' in engines.runs)
+    new = job_builders.make_replica('r2', versions={job_builders.MODEL: 2})
+    directory.replicas.apply(deployment.ReplicaChange('r2', new))
+    if is_lost:
+        directory.replicas.apply(deployment.ReplicaChange('r1', None))
+    run = engines.runs.pop('i0')
+    run.make_events(10, 0.04)
+    run.break_off()
+
+    def runs_at_new_replica():
+        if 'i0' in engines.started.get('r2', ()):
+            return True
+        if 'i0' in engines.runs:
+            engines.runs.pop('i0').break_off()
+        return False
+
+    store_kernel.wait_for(runs_at_new_replica)
+    assert engines.runs['i0'].progress == jobs.Progress()
--- a/tests/unit/jobs/test_scheduling.py
+++ b/tests/unit/jobs/test_scheduling.py
@@ -356,3 +356,23 @@
     assert task.expected_left == 35
     task.expected_events = 140.0
     assert task.expected_left == 70
+
+
+def test_blocked_item_keeps_its_text_while_its_version_may_be_free_soon():
+    # Guards against texts that are discarded because a replica is busy for a
+    # moment, and against items that wait for it without end.
+    requirements = scheduling.Requirements(1, required_version=1)
+    busy = job_builders.make_candidate('r1', version=1, free_slots=0)
+    other = job_builders.make_candidate('r2', version=2)
+    choose = scheduling.choose_for_restart
+    assert choose(requirements, [busy, other], 0.5) is None
+    assert choose(requirements, [busy, other], 1.1) is other
+    assert choose(requirements, [other], 0.0) is other
+    assert choose(scheduling.Requirements(1), [busy, other], 9.0) is None
+
+
+def test_restarted_item_gets_no_version_that_its_step_refuses():
+    # Guards against samples older than the step accepts.
+    requirements = scheduling.Requirements(3, required_version=4)
+    older = job_builders.make_candidate('r2', version=2)
+    assert scheduling.choose_for_restart(requirements, [older], 9.0) is None
