Judge attempts that raise, and reject entries that name no address

Callers of a service got 504 for every call, at all daemons, after another writer had left one entry with a NUL in its address among the replicas.

Cause: the address was not checked beyond its port, the connection raised a ValueError that nothing handled, and the thread of the attempt ended without a result, so the call waited until its deadline and the replica was not avoided.

Entries need an IPv4 address and a key that can be sent. Any error of an attempt counts as a failure of it, for live calls and for items. Items that can't be sent are refused on submission. Odd records are ignored one by one, also in the pages of newest records and in the work log. The stand-in of the store failed at keys that are not UTF-8.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -7,6 +7,7 @@
 
 import eventlet
 import eventlet.queue
+from loguru import logger
 import prometheus_client
 
 from lentildeal._internal.adapters import platform_base
@@ -244,6 +245,12 @@
             return AttemptResult(
                 replica, None, False, 'no complete response in time'
             )
+        except Exception as error:
+            # The call waits for the result of each attempt.
+            logger.opt(exception=error).error('attempt failed')
+            return AttemptResult(
+                replica, None, False, f'internal error: {error!r:.200}'
+            )
         finally:
             timeout.cancel()
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -5,6 +5,7 @@
 import typing
 
 import eventlet
+from loguru import logger
 import prometheus_client
 
 from lentildeal._internal.adapters import platform_base
@@ -408,7 +409,12 @@
     def _run_attempt(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
     ) -> None:
-        outcome = attempt.run(task.entry.head.host, task.item)
+        try:
+            outcome = attempt.run(task.entry.head.host, task.item)
+        except Exception as error:
+            logger.opt(exception=error).error('attempt failed')
+            attempt.reason = f'internal error: {error!r:.200}'
+            outcome = attempts.AttemptOutcome.BROKEN
         if task.attempt is not attempt:
             return
         task.attempt = None
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -384,15 +384,22 @@
 
     def _apply(self, offset: ids.Offset, body: bytes) -> bool:
         try:
-            record = records.decode(body)
+            return self._apply_record(offset, records.decode(body))
         except exceptions.UnreadableRecordError as error:
-            events.emit(
-                'record_ignored',
-                stream=records.WORK_STREAM,
-                key=offset,
-                reason=error.message,
-            )
-            return False
+            reason = error.message
+        except (TypeError, ValueError, AttributeError) as error:
+            reason = f'fields of another type: {error!r:.200}'
+        events.emit(
+            'record_ignored',
+            stream=records.WORK_STREAM,
+            key=offset,
+            reason=reason,
+        )
+        return False
+
+    def _apply_record(
+        self, offset: ids.Offset, record: records.Record
+    ) -> bool:
         handler = self._handlers.get(type(record))
         if handler is not None:
             handler(record)
--- a/src/lentildeal/_internal/network/http_client.py
+++ b/src/lentildeal/_internal/network/http_client.py
@@ -47,7 +47,7 @@
         """
         try:
             return json.loads(self.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise exceptions.PlatformError(
                 f'body of response {self.status} is not valid JSON: {error}'
             ) from error
@@ -269,7 +269,7 @@
                 f'{method} {url}: no connection: {error}',
                 cause='target_down',
             ) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             error_class = exceptions.MayHaveRunError
             if _is_closed(error):
                 error_class = exceptions.ConnectionClosedError
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -317,7 +317,8 @@
         )
         try:
             connection.connect()
-        except (urllib3.exceptions.HTTPError, OSError) as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            # A ValueError is raised for an address that can't be resolved.
             connection.close()
             raise exceptions.NotRunError(
                 f'{address}: no connection: {error}', cause='target_down'
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -121,9 +121,9 @@
                 # Counts accepted orders; it is not the position of an entry.
                 decimals.require_int(report['Sequence']),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except documents.DECODE_ERRORS as error:
             raise exceptions.UnreadableRecordError(
-                f'invalid report of {replica.replica_id}: {error!r}'
+                f'invalid report of {replica.replica_id}: {error!r:.200}'
             ) from error
 
     def order_version(
--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+import ipaddress
 import typing
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import decimals
+from lentildeal._internal.utils import http_fields
 
 MS_PER_S = 1000.0
+# Errors of documents whose fields are missing, of another type, too large or
+# nested too deeply.
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 _REPLICA_STATES = {
     'ready': deployment.ReplicaState.READY,
@@ -41,9 +53,9 @@
                 _read_amount(limits, 'MaxBodyBytes', 32 * 1024 * 1024),
             ),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
-            f'invalid published text: {error!r}'
+            f'invalid published text: {error!r:.200}'
         ) from error
 
 
@@ -58,9 +70,9 @@
             ids.ModelName(_require_string(document['Model'])),
             ids.Version(decimals.require_int(document['Version'])),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
-            f'invalid version announcement: {error!r}'
+            f'invalid version announcement: {error!r:.200}'
         ) from error
 
 
@@ -73,14 +85,11 @@
         exceptions.UnreadableRecordError: A field is missing or wrong.
     """
     try:
-        address = _require_string(document['Address'])
-        host, _, port = address.rpartition(':')
-        if not host or not 0 < (decimals.read_decimal(port) or 0) < 65536:
-            raise ValueError(f'invalid address {address!r}')
         return deployment.Replica(
-            replica_id=replica_id,
+            # Every request to the replica names it in a header.
+            replica_id=ids.ReplicaId(http_fields.require_value(replica_id)),
             service=ids.ServiceName(_require_string(document['Service'])),
-            address=ids.ReplicaAddress(address),
+            address=_decode_address(document['Address']),
             failure_domain=ids.FailureDomain(
                 _require_string(document['Zone'])
             ),
@@ -90,12 +99,20 @@
             versions=decode_models(document.get('Models') or []),
             started_ms=decimals.require_int(document.get('born', 0)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
-            f'invalid entry of replica {replica_id}: {error!r}'
+            f'invalid entry of replica {replica_id}: {error!r:.200}'
         ) from error
 
 
+def _decode_address(value: typing.Any) -> ids.ReplicaAddress:
+    """Decodes an address "ip:port"; names of hosts are not looked up."""
+    host, _, port = _require_string(value).rpartition(':')
+    if not 0 < (decimals.read_decimal(port) or 0) < 65536:
+        raise ValueError(f'invalid port in address {value!r:.50}')
+    return ids.ReplicaAddress(f'{ipaddress.IPv4Address(host)}:{int(port)}')
+
+
 def decode_models(
     entries: list,
 ) -> dict[ids.ModelName, ids.Version]:
@@ -161,5 +178,5 @@
 
 def _require_string(value: typing.Any) -> str:
     if not isinstance(value, str) or not value:
-        raise TypeError(f'{value!r} is not a non-empty string')
+        raise TypeError(f'{value!r:.50} is not a non-empty string')
     return value
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -23,6 +23,7 @@
 from lentildeal._internal.platform import names
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import decimals
+from lentildeal._internal.utils import http_fields
 
 # Deadline of a request without a deadline header, in milliseconds.
 DEFAULT_DEADLINE_MS = 10_000
@@ -167,9 +168,15 @@
             ),
             items,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+        RecursionError,
+    ) as error:
         raise exceptions.BadRequestError(
-            f'job {job_id} is not valid: {error!r}'
+            f'job {job_id} is not valid: {error!r:.200}'
         ) from error
 
 
@@ -200,7 +207,7 @@
     item_id = _require_text(entry['Id'])
     try:
         headers = {
-            _require_text(k): _require_text(str(v))
+            http_fields.require_name(k): http_fields.require_value(str(v))
             for k, v in entry['Headers'].items()
         }
         # The usage header holds the prompt tokens and the maximum of output
@@ -210,9 +217,10 @@
         if hint is None:
             hint = _read_number(usage[-1], names.TOKEN_USAGE)
         return jobs.Item(
-            item_id=ids.ItemId(item_id),
+            # Sent as a header, as is the request ID of a scoring request.
+            item_id=ids.ItemId(http_fields.require_value(item_id)),
             group=ids.GroupId(_require_text(entry.get('Group') or item_id)),
-            path=_require_text(entry['Path']),
+            path=http_fields.require_target(entry['Path']),
             headers=headers,
             body=base64.b64decode(entry.get('Body') or '', validate=True),
             expected_tokens=hint,
@@ -223,10 +231,12 @@
         TypeError,
         ValueError,
         AttributeError,
+        OverflowError,
+        RecursionError,
         binascii.Error,
         exceptions.BadRequestError,
     ) as error:
-        raise ValueError(f'item {item_id!r}: {error!r}') from error
+        raise ValueError(f'item {item_id!r:.50}: {error!r:.200}') from error
 
 
 def _decode_scoring(
@@ -235,9 +245,9 @@
     if entry is None:
         return None
     return jobs.ScoringRequest(
-        request_id=_require_text(entry['Id']),
-        host=_require_text(entry['Host']),
-        path=_require_text(entry['Path']),
+        request_id=http_fields.require_value(entry['Id']),
+        host=http_fields.require_value(entry['Host']),
+        path=http_fields.require_target(entry['Path']),
         body=base64.b64decode(entry.get('Body') or '', validate=True),
     )
 
--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -14,10 +14,13 @@
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
+from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import http_client
+from lentildeal._internal.platform import documents
 from lentildeal._internal.platform import names
 from lentildeal._internal.settings import settings as settings_module
+from lentildeal._internal.utils import decimals
 
 # The store delays an append for at most 2 s before it refuses it. It normally
 # answers in 4 ms; in slow phases of the platform it takes 60 times as long.
@@ -69,8 +72,8 @@
             raise exceptions.LogAnswerLostError(error.message) from error
         if response.status == 200:
             try:
-                return ids.Offset(int(response.read_json()['Offset']))
-            except (KeyError, TypeError, exceptions.PlatformError) as error:
+                return ids.Offset(_read_number(response.read_json(), 'Offset'))
+            except exceptions.PlatformError as error:
                 raise exceptions.LogAnswerLostError(
                     f'the store confirmed an append without a valid'
                     f' offset: {error!r}'
@@ -100,7 +103,7 @@
         if response.status == 410:
             raise exceptions.LogTrimmedError(
                 f'the store has dropped records of {stream} at this offset',
-                int(response.read_json()['First']),
+                _read_number(response.read_json(), 'First'),
             )
         if response.status == 404:
             # A stream exists only once it has a record.
@@ -120,18 +123,14 @@
             if response.status == 404:
                 return [], ids.Offset(0)
             self._check(response, stream)
-            page = response.read_json()
+            page = _decode_newest(response.read_json(), stream)
             # Pages are not a consistent snapshot. Reading on from the end of
             # the first page includes all records written since then.
-            end = page['End'] if end is None else end
-            for entry in page['Entries']:
-                value = base64.b64decode(entry.get('Value') or '')
-                records.append(
-                    platform_base.KeyedRecord(entry['Key'], value or None)
-                )
-            if not page['HasMore'] or not page['Entries']:
+            end = page.end if end is None else end
+            records.extend(page.records)
+            if not page.has_more:
                 return records, ids.Offset(end)
-            query['After'] = page['Entries'][-1]['Key']
+            query['After'] = page.last_key
 
     def decode_keyed(self, body: bytes) -> platform_base.KeyedRecord:
         """See the base class."""
@@ -196,6 +195,64 @@
         )
 
 
+class _NewestPage(typing.NamedTuple):
+    """Some of the newest records of the keys of a stream."""
+
+    records: list[platform_base.KeyedRecord]
+    end: int
+    has_more: bool
+    last_key: str
+
+
+def _decode_newest(document: typing.Any, stream: str) -> _NewestPage:
+    """Decodes a page of newest records, without the ones that are odd.
+
+    Raises:
+        exceptions.LogUnavailableError: It is not such a page.
+    """
+    try:
+        entries = document['Entries']
+        return _NewestPage(
+            list(_iter_entries(entries, stream)),
+            decimals.require_int(document['End']),
+            bool(document['HasMore'] and entries),
+            entries[-1]['Key'] if entries else '',
+        )
+    except documents.DECODE_ERRORS as error:
+        raise exceptions.LogUnavailableError(
+            f'the store sent an invalid page of records: {error!r:.200}'
+        ) from error
+
+
+def _iter_entries(
+    entries: list, stream: str
+) -> typing.Iterator[platform_base.KeyedRecord]:
+    for entry in entries:
+        key = entry['Key']
+        try:
+            if not isinstance(key, str):
+                raise TypeError(f'{key!r:.50} is not a string')
+            value = base64.b64decode(entry.get('Value') or '')
+        except documents.DECODE_ERRORS as error:
+            events.emit(
+                'record_ignored',
+                stream=stream,
+                key=f'{key!r:.50}',
+                reason=f'{error!r:.200}',
+            )
+        else:
+            yield platform_base.KeyedRecord(key, value or None)
+
+
+def _read_number(document: typing.Any, name: str) -> int:
+    try:
+        return decimals.require_int(document[name])
+    except documents.DECODE_ERRORS as error:
+        raise exceptions.LogUnavailableError(
+            f'the store sent an answer without {name}: {error!r:.200}'
+        ) from error
+
+
 def _decode_page(body: bytes, start: ids.Offset) -> platform_base.StorePage:
     try:
         end, oldest = PAGE_HEADER.unpack_from(body)
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -85,7 +85,7 @@
         newest: dict[str, dict] = {}
         for offset, record in enumerate(stream):
             end = 1 + record[0]
-            key = record[1:end].decode()
+            key = record[1:end].decode(errors='replace')
             newest[key] = {
                 'Key': key,
                 'Value': base64.b64encode(record[end:]).decode(),
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -103,7 +103,11 @@
     def write(self, stream: str, key: str, value: typing.Any) -> None:
         """Writes a keyed record; the value None deletes the key."""
         text = b'' if value is None else json.dumps(value).encode()
-        record = bytes([len(key)]) + key.encode() + text
+        self.write_bytes(stream, key.encode(), text)
+
+    def write_bytes(self, stream: str, key: bytes, value: bytes) -> None:
+        """Writes a keyed record as any writer might."""
+        record = bytes([len(key)]) + key + value
         request = urllib.request.Request(
             f'{self.store.url}/log-append?Topic={stream}&part=0',
             LENGTH.pack(len(record)) + record,
@@ -118,17 +122,7 @@
             {'Name': name, 'Version': version, 'Adapters': []}
             for name, version in versions.items()
         ]
-        entry = {
-            'Service': service,
-            'Address': address,
-            'Zone': 'd1',
-            'Version': 'v1',
-            'Slots': 4,
-            'State': state,
-            'Models': models,
-            'Sequence': 1,
-            'born': 1,
-        }
+        entry = make_entry(service, address, models, state)
         self.write('keyed.servers', replica_id, entry)
 
     def write_text(self, version=1, extra_routes=()) -> None:
@@ -178,6 +172,21 @@
         return found
 
 
+def make_entry(service, address, models=(), state='ready') -> dict:
+    """Makes the directory entry of a replica."""
+    return {
+        'Service': service,
+        'Address': address,
+        'Zone': 'd1',
+        'Version': 'v1',
+        'Slots': 4,
+        'State': state,
+        'Models': list(models),
+        'Sequence': 1,
+        'born': 1,
+    }
+
+
 def make_route(name, prefix, kind, service) -> dict:
     """Makes a route of the published text."""
     return {
--- /dev/null
+++ b/tests/unit/gateway/test_attempts.py
@@ -0,0 +1,85 @@
+"""Attempts of live calls that end with an error nobody expected."""
+
+import contextlib
+
+import pytest
+
+from lentildeal._internal import exceptions
+from lentildeal._internal.gateway import calls
+from lentildeal._internal.gateway import plugin
+from lentildeal._internal.models import deployment
+from lentildeal._internal.utils import clock
+from tests.lib import fake_store
+from tests.lib import job_builders
+from tests.lib import store_kernel
+
+
+@pytest.fixture
+def kernel():
+    with contextlib.closing(
+        store_kernel.StoreKernel(fake_store.FakeStore())
+    ) as found:
+        found.settings.failure_domain = 'd1'
+        found.check_time_left = lambda limit_s: None
+        found.add_work_log()
+        for replica_id in ('r1', 'r2'):
+            replica = job_builders.make_replica(
+                replica_id, address=f'{replica_id}:80'
+            )
+            found.plugins['directory'].replicas.apply(
+                deployment.ReplicaChange(replica_id, replica)
+            )
+        yield found
+
+
+def make_call(request_id='1'):
+    return calls.LiveCall(
+        request_id=request_id,
+        method='GET',
+        host=job_builders.HOST,
+        path='/',
+        target='/',
+        headers=(),
+        body=b'',
+        deadline=clock.Deadline(5.0),
+        is_client_gone=lambda: False,
+    )
+
+
+def make_route(kind):
+    return job_builders.make_route(kind=kind, timeout_s=5.0)
+
+
+def make_gateway(kernel, monkeypatch, failing):
+    """A gateway whose attempts at some replicas raise an error."""
+    gateway = plugin.Gateway(kernel)
+    sent = []
+
+    def send(replica, *_):
+        sent.append(replica.replica_id)
+        if replica.replica_id in failing:
+            raise LookupError('unexpected')
+        response = calls.LiveResponse(200, (), b'')
+        return plugin.AttemptResult(replica, response, False, 'status 200')
+
+    monkeypatch.setattr(gateway, '_send', send)
+    return gateway, sent
+
+
+def test_attempt_that_raises_is_judged_as_a_failure(kernel, monkeypatch):
+    # Guards against calls that wait until their deadline because an attempt
+    # ended without a result, and against a replica that is never avoided.
+    gateway, sent = make_gateway(kernel, monkeypatch, {'r1'})
+    route = make_route(deployment.RouteKind.SAFE)
+    for number in range(30):
+        response = gateway.forward(route, make_call(str(number)))
+        assert response.status == 200
+    assert sent[-10:].count('r1') <= 2
+
+
+def test_unsafe_call_whose_attempt_raised_may_have_run(kernel, monkeypatch):
+    # Guards against a refusal that says the call has not run.
+    gateway, sent = make_gateway(kernel, monkeypatch, {'r1', 'r2'})
+    with pytest.raises(exceptions.MayHaveRunError):
+        gateway.forward(make_route(deployment.RouteKind.UNSAFE), make_call())
+    assert len(sent) == 1
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -58,6 +58,9 @@
     def complete(self):
         self._end.send(attempts.AttemptOutcome.COMPLETE)
 
+    def raise_error(self):
+        self._end.send_exception(LookupError('unexpected'))
+
     def break_off(self):
         self._end.send(attempts.AttemptOutcome.BROKEN)
 
@@ -254,3 +257,19 @@
 
     store_kernel.wait_for(runs_at_new_replica)
     assert engines.runs['i0'].progress == jobs.Progress()
+
+
+def test_item_whose_attempt_raises_is_tried_elsewhere(kernel, log, engines):
+    # Guards against an item that counts as running after its attempt ended.
+    add = kernel.plugins['directory'].replicas.apply
+    for replica_id in ('r1', 'r2'):
+        replica = job_builders.make_replica(replica_id)
+        add(deployment.ReplicaChange(replica_id, replica))
+    submit(log, 'job', ('i0',))
+    store_kernel.wait_for(lambda: 'i0' in engines.runs)
+    run = engines.runs.pop('i0')
+    started_s = clock.monotonic_s()
+    run.raise_error()
+    store_kernel.wait_for(lambda: 'i0' in engines.runs)
+    assert clock.monotonic_s() - started_s < 0.5
+    assert engines.runs['i0'].replica != run.replica
--- a/tests/unit/platform/test_hostile_documents.py
+++ b/tests/unit/platform/test_hostile_documents.py
@@ -2,12 +2,15 @@
 
 import base64
 import contextlib
+import functools
+import ipaddress
 import json
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import records
 from lentildeal._internal.models import ids
@@ -50,6 +53,11 @@
     'Models': [{'Name': 'm', 'Version': 1, 'Adapters': []}],
     'born': 1,
 }
+NEWEST = {
+    'Entries': [{'Key': 'a', 'Value': 'YQ==', 'Offset': 1}],
+    'HasMore': False,
+    'End': 2,
+}
 
 
 def make_request(body, **headers):
@@ -75,10 +83,74 @@
     with contextlib.suppress(exceptions.UnreadableRecordError):
         replica = documents.decode_replica(ids.ReplicaId('r'), document)
         host, _, port = replica.address.rpartition(':')
-        assert host and 0 < int(port) < 65536
+        assert ipaddress.IPv4Address(host) and 0 < int(port) < 65536
         assert replica.slots >= 0
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '127.0.0.1\0:80',
+        '127.0.0.1:80\0',
+        '127.0.0.1:99999',
+        '127.0.0.1:' + '9' * 400,
+        'no.such.host:80',
+        '1' * 300 + ':80',
+        '127.0.0.1\r\nX: 1:80',
+        '\ud800:80',
+        '[::1]:80',
+        ':80',
+    ],
+)
+def test_entry_whose_address_cannot_be_connected_to_is_rejected(address):
+    # Guards against attempts that end with an error that nobody handles.
+    with pytest.raises(exceptions.UnreadableRecordError):
+        documents.decode_replica(
+            ids.ReplicaId('r'), {**REPLICA, 'Address': address}
+        )
+
+
+@pytest.mark.parametrize('key', ['a\0', 'a\r\nX: 1', '\u20ac', '\ud800'])
+def test_entry_whose_key_cannot_be_sent_is_rejected(key):
+    # The key of an entry is a header of each request to its replica.
+    with pytest.raises(exceptions.UnreadableRecordError):
+        documents.decode_replica(ids.ReplicaId(key), REPLICA)
+
+
+@pytest.mark.parametrize('field', sorted(REPLICA))
+def test_deeply_nested_or_huge_field_is_rejected(field):
+    # Guards against a reader of the directory that ends at an odd entry.
+    deep = functools.reduce(lambda value, _: [value], range(900), 1)
+    for value in (deep, 1e999, -1e999, float('nan'), 10**400):
+        with pytest.raises(exceptions.UnreadableRecordError):
+            documents.decode_replica(
+                ids.ReplicaId('r'), {**REPLICA, field: value}
+            )
+
+
+@pytest.mark.parametrize(
+    'field, value',
+    [
+        ('Path', '/a b'),
+        ('Path', '/a\r\nX: 1'),
+        ('Path', 'a'),
+        ('Path', '/\u20ac'),
+        ('Id', 'one\0'),
+        ('Headers', {'X': 'a\r\nY: 1'}),
+        ('Headers', {'X': '\u20ac'}),
+        ('Headers', {'X:': 'a'}),
+        ('Headers', {'': 'a'}),
+    ],
+)
+def test_item_that_cannot_be_sent_is_rejected(field, value):
+    # Guards against an item whose attempts all fail before they are sent, and
+    # are counted against the replicas.
+    job = platform_world.make_job(['one'])
+    job['Entries'][0][field] = value
+    with pytest.raises(exceptions.BadRequestError):
+        ingress.decode_job(make_request(json.dumps(job).encode()), 'h', '/')
+
+
 @EXAMPLES
 @hypothesis.given(byte_strategies.mutated_documents(JOB))
 def test_job_is_accepted_completely_or_rejected(document):
@@ -122,6 +194,26 @@
         assert sum(len(r.body) + 4 for r in page.records) + 16 == len(body)
 
 
+@EXAMPLES
+@hypothesis.given(byte_strategies.mutated_documents(NEWEST))
+def test_page_of_newest_records_is_decoded_or_rejected(document):
+    # Guards against a follower that ends and starts again without end.
+    with contextlib.suppress(exceptions.LogUnavailableError):
+        page = store._decode_newest(document, 'keyed.servers')
+        assert all(r.value is None or r.value for r in page.records)
+
+
+@pytest.mark.parametrize(
+    'odd', [{'Key': 7}, {'Key': None}, {'Key': 'b', 'Value': 'a'}, {'Key': ''}]
+)
+def test_odd_record_hides_no_other_record(odd):
+    # Guards against a process that never reads the directory because of one
+    # record of another writer.
+    document = {**NEWEST, 'Entries': [odd, *NEWEST['Entries'], odd]}
+    page = store._decode_newest(document, 'keyed.servers')
+    assert platform_base.KeyedRecord('a', b'a') in page.records
+
+
 @EXAMPLES
 @hypothesis.given(st.binary(max_size=60))
 def test_record_is_decoded_or_rejected(body):
