Send nothing more to a replica whose answers say it is leaving

A replica that leaves says so in all its answers; its entry in the directory may say so later or never. Requests went on until the entry changed.

An answer with Server-Leaving marks the replica as leaving at this daemon, for live calls, items, scoring calls and orders, until it restarts. A late entry or a page of all entries does not bring it back; answers to other requests and those of a replica that took over the address don't count.

test_replica_that_says_it_is_leaving_gets_no_more_requests: the sixth call got 200 before, gets 503 now (no other replica of the service).

--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -105,11 +105,13 @@
         versions: Version of each model.
         is_busy: Whether an order is being carried out.
         order_count: Orders accepted since the replica started.
+        is_leaving: Whether the replica will leave and wants no more requests.
     """
 
     versions: dict[ids.ModelName, ids.Version]
     is_busy: bool
     order_count: int
+    is_leaving: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -136,6 +138,7 @@
             daemons together, None without a limit.
         is_misdirected: Whether the request was meant for another replica or
             version; then the replica is not the one that was addressed.
+        is_leaving: Whether the replica will leave and wants no more requests.
     """
 
     request_id: typing.Optional[str]
@@ -145,6 +148,7 @@
     signature: typing.Optional[str] = None
     rate_limit: typing.Optional[float] = None
     is_misdirected: bool = False
+    is_leaving: bool = False
 
 
 class OrderOutcome(str, enum.Enum):
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -76,6 +76,17 @@
         """See the base class."""
         self.platform.reload(settings)
 
+    def mark_leaving(self, replica: deployment.Replica) -> None:
+        """Handles an answer by which a replica says that it will leave."""
+        if self.replicas.mark_leaving(replica):
+            events.emit(
+                'replica_changed',
+                replica=replica.replica_id,
+                state=deployment.ReplicaState.LEAVING.value,
+                versions=replica.versions,
+            )
+            self.changed.set()
+
     def request_text(self, version: int) -> None:
         """Reads the newest text at once because a newer one is in effect.
 
--- a/src/lentildeal/_internal/directory/replicas.py
+++ b/src/lentildeal/_internal/directory/replicas.py
@@ -13,6 +13,9 @@
 # seconds after it is reachable again if the replica is alive. Until then,
 # missing entries are kept.
 EXPIRY_GRACE_S = 2.0
+# Above this number, replicas without an entry are no longer remembered as
+# leaving.
+MAX_LEAVING = 1000
 
 
 class ReplicaTable:
@@ -24,6 +27,8 @@
         self._now = now
         self._replicas: dict[ids.ReplicaId, deployment.Replica] = {}
         self._kept_until_s: dict[ids.ReplicaId, float] = {}
+        # Start times of replicas that have said that they will leave.
+        self._leaving: dict[ids.ReplicaId, int] = {}
         self._unreachable_since_s: typing.Optional[float] = None
         self._reachable_again_s: typing.Optional[float] = None
 
@@ -68,7 +73,40 @@
             return
         if known is not None and known.started_ms == replica.started_ms:
             replica = _merge_versions(replica, known.versions)
-        self._replicas[change.replica_id] = replica
+        self._replicas[change.replica_id] = self._merge_state(replica)
+
+    def mark_leaving(self, replica: deployment.Replica) -> bool:
+        """Records that a replica itself has said that it will leave.
+
+        Its entry may say so later, or never. Only a restart of the replica
+        ends it.
+
+        Args:
+            replica: The replica as it was when the request was sent.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        self._leaving[replica.replica_id] = replica.started_ms
+        if len(self._leaving) > MAX_LEAVING:
+            self._leaving = {
+                replica_id: started_ms
+                for replica_id, started_ms in self._leaving.items()
+                if replica_id in self._replicas
+            }
+        known = self._replicas.get(replica.replica_id)
+        if known is None or known.started_ms != replica.started_ms:
+            return False
+        self._replicas[replica.replica_id] = self._merge_state(known)
+        return known.state is deployment.ReplicaState.READY
+
+    def _merge_state(self, replica: deployment.Replica) -> deployment.Replica:
+        """Keeps the state that the replica itself has told."""
+        if self._leaving.get(replica.replica_id) != replica.started_ms:
+            return replica
+        return dataclasses.replace(
+            replica, state=deployment.ReplicaState.LEAVING
+        )
 
     def confirm_version(
         self,
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -308,6 +308,9 @@
         )
         if info.load is not None:
             self._loads[replica.replica_id] = info.load, clock.monotonic_s()
+        is_foreign = info.request_id not in (None, call.request_id)
+        if info.is_leaving and not is_foreign:
+            self._directory.mark_leaving(replica)
         if info.is_not_run:
             self._limits.record_answer(replica.replica_id, info)
             response.read()
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -381,7 +381,7 @@
             replica,
             task.progress,
             task.entry.head.min_version,
-            lambda info: self._record_info(replica.replica_id, info),
+            lambda info: self._record_info(replica, info),
         )
         task.record_start(attempt)
         self._replica_tracker.record_start(replica.replica_id)
@@ -398,8 +398,11 @@
         task.thread = eventlet.spawn(self._run_attempt, task, attempt)
 
     def _record_info(
-        self, replica_id: ids.ReplicaId, info: platform_base.ResponseInfo
+        self, replica: deployment.Replica, info: platform_base.ResponseInfo
     ) -> None:
+        replica_id = replica.replica_id
+        if info.is_leaving:
+            self._directory.mark_leaving(replica)
         if info.load is not None:
             self._replica_tracker.record_load(
                 replica_id, info.load.running + info.load.waiting
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -158,6 +158,9 @@
                 return
             self._limits.record_sent(replica.replica_id)
             report = self._directory.platform.get_report(replica)
+            if report.is_leaving:
+                self._directory.mark_leaving(replica)
+                return
             if report.versions.get(load.model, 0) >= load.version:
                 self._confirm(load)
                 return
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -95,6 +95,7 @@
                 headers.get(names.REQUEST_LIMIT.lower(), '')
             ),
             is_misdirected=status == MISDIRECTED_STATUS,
+            is_leaving=_is_leaving(status, headers),
         )
 
     def read_event_version(
@@ -120,6 +121,7 @@
                 bool(report['Busy']),
                 # Counts accepted orders; it is not the position of an entry.
                 decimals.require_int(report['Sequence']),
+                _is_leaving(response.status, response.headers),
             )
         except documents.DECODE_ERRORS as error:
             raise exceptions.UnreadableRecordError(
@@ -195,6 +197,15 @@
     )
 
 
+def _is_leaving(status: int, headers: typing.Mapping[str, str]) -> bool:
+    # Another replica that took over the address answers that the request was
+    # misdirected.
+    return (
+        headers.get(names.LEAVING.lower(), '').strip() == '1'
+        and status != MISDIRECTED_STATUS
+    )
+
+
 def _read_version(value: typing.Optional[str]) -> typing.Optional[ids.Version]:
     number = decimals.read_decimal(value or '')
     return None if number is None else ids.Version(number)
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -19,13 +19,15 @@
 
     # cut: the connection is closed after three events; fail: run, then
     # respond with 500; foreign: the response names another request; full: 503
-    # without running the request; limit: requests a second that it names,
-    # 0 for none; lose: run, then closed without a response.
+    # without running the request; leaving: all answers say so; limit: requests
+    # a second that it names, 0 for none; lose: run, then closed without a
+    # response.
     fault_defaults = {
         'cut': 0,
         'fail': 0,
         'foreign': 0,
         'full': 0,
+        'leaving': 0,
         'limit': 0,
         'lose': 0,
     }
@@ -55,7 +57,9 @@
         if expected not in (None, self.arguments.replica_id):
             return common.Response(421)
         if request.path == '/report':
-            return common.json_response(self._make_report())
+            response = common.json_response(self._make_report())
+            response.headers.update(self._state_headers)
+            return response
         if request.path == '/order':
             return self._handle_order(request.read_json())
         return self._run(request)
@@ -88,7 +92,7 @@
         request_id = request.headers.get(REQUEST_ID_HEADER.lower(), '')
         if self.faults.should_inject('full'):
             return common.Response(
-                503, {'Lentildeal-Not-Executed': '1', **self._limit_header}
+                503, {'Lentildeal-Not-Executed': '1', **self._state_headers}
             )
         last_event_id = request.headers.get('last-event-id')
         self._runs.append(
@@ -104,7 +108,7 @@
         headers = {
             REQUEST_ID_HEADER: request_id,
             'Lentildeal-Response-Stamp': f'{request_id}.{len(self._runs)}',
-            **self._limit_header,
+            **self._state_headers,
         }
         if self.faults.should_inject('lose'):
             request.abort()
@@ -119,9 +123,12 @@
         return common.Response(200, headers, self._stream(request, start))
 
     @property
-    def _limit_header(self) -> dict[str, str]:
+    def _state_headers(self) -> dict[str, str]:
         limit = self.faults['limit']
-        return {'Server-Limit': str(limit)} if limit else {}
+        headers = {'Server-Limit': str(limit)} if limit else {}
+        if self.faults['leaving']:
+            headers['Server-Leaving'] = '1'
+        return headers
 
     def _stream(
         self, request: common.Request, start: int
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -329,6 +329,43 @@
     )
 
 
+def test_replica_that_says_it_is_leaving_gets_no_more_requests(launcher):
+    """Guards against requests to a replica whose entry does not say so yet.
+
+    Some replicas never announce their stop in the directory.
+    """
+    world = platform_world.World(launcher, daemons=1)
+    (daemon,) = world.daemons
+    leaving, other = world.engines
+    leaving.set_faults(leaving=1)
+    world.plain.set_faults(leaving=1)
+    job = platform_world.make_job(ITEMS)
+    assert platform_world.submit(daemon, 'job', job) == 202
+    check_results(world.read_all(daemon, 'job'))
+    status, _ = daemon.call(
+        'POST', '/desk/1', Host=HOST, Lentildeal_Request_Id='c1'
+    )
+    assert status == 200
+    # An entry that is written again still says that it is ready.
+    world.write_replica('p0', 'desk', world.plain.address, {})
+    world.write_replica(
+        'r0', 'engines', leaving.address, {platform_world.MODEL: 1}
+    )
+    ran = len(leaving.read_journal()['runs'])
+    items = tuple(f'second-{number}' for number in range(8))
+    job = platform_world.make_job(items)
+    assert platform_world.submit(daemon, 'second', job) == 202
+    check_results(world.read_all(daemon, 'second'), items)
+    for number in range(5):
+        status, _ = daemon.call(
+            'POST', '/desk/1', Host=HOST, Lentildeal_Request_Id=f'd{number}'
+        )
+        assert status == 503
+    assert len(leaving.read_journal()['runs']) == ran
+    assert len(world.plain.read_journal()['runs']) == 1
+    assert len(other.read_journal()['runs']) >= len(items)
+
+
 def test_hangup_signal_reloads_the_settings(launcher):
     """Guards against a daemon that exits when its settings change."""
     world = platform_world.World(launcher, daemons=1)
--- a/tests/unit/directory/test_replicas.py
+++ b/tests/unit/directory/test_replicas.py
@@ -110,3 +110,33 @@
     table.apply(make_change(address='10.0.0.9:80', started_ms=9))
     table.apply(make_change(started_ms=1))
     assert table.get('r1').address == '10.0.0.9:80'
+
+
+def test_replica_that_says_it_is_leaving_stays_out_until_its_restart(table):
+    # Guards against a late entry, or a page of all entries, that brings back a
+    # replica that has said in an answer that it will leave.
+    assert table.mark_leaving(table.get('r1'))
+    assert not table.mark_leaving(table.get('r1'))
+    table.apply(make_change())
+    assert ready(table) == []
+    table.replace_all([make_change()])
+    assert ready(table) == []
+    table.apply(deployment.ReplicaChange('r1', None))
+    table.apply(make_change())
+    assert ready(table) == []
+    table.apply(make_change(started_ms=9))
+    assert ready(table) == ['r1']
+
+
+def test_late_answer_of_an_earlier_start_takes_no_replica_out(table):
+    # Guards against an answer of the process before under the same id.
+    before = table.get('r1')
+    table.apply(make_change(started_ms=9))
+    assert not table.mark_leaving(before)
+    assert ready(table) == ['r1']
+
+
+def test_replicas_that_left_long_ago_are_forgotten(table):
+    for number in range(2 * replicas.MAX_LEAVING):
+        table.mark_leaving(job_builders.make_replica(f'gone{number}'))
+    assert len(table._leaving) <= replicas.MAX_LEAVING
--- a/tests/unit/platform/test_adapter.py
+++ b/tests/unit/platform/test_adapter.py
@@ -103,3 +103,22 @@
     assert platform.read_response(421, headers).is_misdirected
     assert not platform.read_response(503, headers).is_misdirected
     assert platform.read_response(200, {}).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    ('status', 'value', 'is_leaving'),
+    [
+        (200, '1', True),
+        (503, ' 1 ', True),
+        # Another replica took over the address.
+        (421, '1', False),
+        (200, '0', False),
+        (200, '', False),
+    ],
+)
+def test_answer_says_that_the_replica_is_leaving(
+    platform, status, value, is_leaving
+):
+    """Guards against requests to a replica that has said it will leave."""
+    info = platform.read_response(status, {'server-leaving': value})
+    assert info.is_leaving == is_leaving
