Take one read without an answer for a silent connection, not an outage

Cause: the daemon learned of the removal when the read timed out, counted that as an outage of the store, and kept the missing entry for two more seconds, as entries may expire in an outage. Ruled out: the read timeout alone, by which the removal is known after 2.3 s, before the daemon counts as in touch again.

An outage begins with the second failed read in a row; the second one uses a new connection.

--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -24,6 +24,9 @@
 # seconds.
 LONGEST_SPACING_S = 0.5
 FIRST_RETRY_S = 0.1
+# Failed reads in a row from which on the store counts as unreachable. One may
+# be due to its connection; the next read uses another one.
+UNREACHABLE_FAILURES = 2
 LONGEST_RETRY_S = 0.5
 
 
@@ -69,6 +72,7 @@
         reads = read_pacing.ReadPacer(
             SPACING_S, LONGEST_SPACING_S, self._demand, IDLE_SPACING_S
         )
+        failures = 0
         while True:
             try:
                 self._read_once()
@@ -80,11 +84,14 @@
             except exceptions.PlatformError as error:
                 if isinstance(error, exceptions.LogOverloadedError):
                     reads.record_throttling()
-                self._sink.mark_unreachable(self._stream, error.message)
+                failures += 1
+                if failures >= UNREACHABLE_FAILURES:
+                    self._sink.mark_unreachable(self._stream, error.message)
                 eventlet.sleep(
                     max(reads.next_interval_s(), delays.next_delay_s())
                 )
                 continue
+            failures = 0
             delays.reset()
             reads.record_response()
             self._sink.mark_reachable(self._stream)
--- a/tests/unit/directory/test_follower.py
+++ b/tests/unit/directory/test_follower.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lentildeal._internal.directory import follower
+from lentildeal._internal import exceptions
 from tests.lib import fake_store
 
 STREAM = 'keyed.servers'
@@ -17,6 +18,7 @@
     def __init__(self):
         self.values = {}
         self.history = []
+        self.outages = 0
 
     def handle_snapshot(self, _stream, records):
         self.values = {record.key: record.value for record in records}
@@ -32,7 +34,7 @@
         """Not needed here."""
 
     def mark_unreachable(self, _stream, _reason):
-        """Not needed here."""
+        self.outages += 1
 
 
 class OldPageStore(fake_store.FakeStore):
@@ -104,3 +106,29 @@
         store.trim(STREAM, 3)
         store.is_down = False
         wait_for(lambda: sink.values == {'stays': b'ready'})
+
+
+@pytest.mark.parametrize('failures, outages', [(1, 0), (2, 1)])
+def test_silent_connection_is_no_outage_of_the_store(failures, outages):
+    """Guards against requests to a replica that was removed seconds ago.
+
+    After an outage missing entries are kept for a while, as they may only have
+    expired. One read without an answer is no outage.
+    """
+    store = fake_store.FakeStore()
+    read = store.read
+    left = [failures]
+
+    def read_or_fail(*arguments, **options):
+        if sink.values and left[0]:
+            left[0] -= 1
+            raise exceptions.LogUnavailableError('no answer in time')
+        return read(*arguments, **options)
+
+    store.read = read_or_fail
+    store.streams[STREAM].append(fake_store.encode_keyed('r1', b'ready'))
+    with follow(store) as sink:
+        wait_for(lambda: sink.values and not left[0])
+        store.streams[STREAM].append(fake_store.encode_keyed('r1'))
+        wait_for(lambda: not sink.values)
+        assert sink.outages == outages
