Do not pass a call on that took its replica down

Callers of a service were all refused for three seconds after one deadly call: it was sent from replica to replica, and all three were down within 0.3 s.

Cause: a closed connection of a safe call led to an attempt at the next replica, also when the replica had crashed. On a kept connection the crash was even taken for 'not run', as the reconnection was refused; a 503 that says so may have been false.

A close is now followed by a connection to the same target, which tells a reset from a crash.

Both tests of the crash fail before (test_request_that_takes_its_target_down_may_have_run, test_call_that_takes_a_replica_down_is_sent_to_no_other).

--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -168,6 +168,13 @@
     """A connection was closed before the response to a request began."""
 
 
+class TargetCrashedError(ConnectionClosedError):
+    """A target closed a connection and accepts no other any more.
+
+    The request may have ended the target and may end the next one as well.
+    """
+
+
 class TruncatedAnswerError(MayHaveRunError):
     """A connection was closed before the end of the response."""
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -45,7 +45,17 @@
 
 
 class AttemptResult(typing.NamedTuple):
-    """Result of an attempt at a replica."""
+    """Result of an attempt at a replica.
+
+    Attributes:
+        replica: The replica.
+        response: Its response, None without one.
+        is_not_run: Whether the replica has not run the call.
+        reason: Why the attempt failed, if it did.
+        load: Load that the replica reported.
+        is_sent: Whether anything was sent.
+        has_crashed: Whether the replica went down when it had the call.
+    """
 
     replica: deployment.Replica
     response: typing.Optional[calls.LiveResponse]
@@ -53,6 +63,7 @@
     reason: str
     load: typing.Optional[platform_base.ReplicaLoad] = None
     is_sent: bool = True
+    has_crashed: bool = False
 
     @property
     def is_success(self) -> bool:
@@ -284,7 +295,10 @@
         except exceptions.NotRunError as error:
             return AttemptResult(replica, None, True, error.message)
         except exceptions.MayHaveRunError as error:
-            return AttemptResult(replica, None, False, error.message)
+            has_crashed = isinstance(error, exceptions.TargetCrashedError)
+            return AttemptResult(
+                replica, None, False, error.message, has_crashed=has_crashed
+            )
         is_streaming = False
         try:
             result = self._read_response(replica, route, call, response)
@@ -394,6 +408,7 @@
         self._threads: list = []
         self._running = 0
         self._may_have_run = False
+        self._has_crashed = False
         # Attempts that found no turn at their replica.
         self._unsent = 0
         self._failed_response: typing.Optional[calls.LiveResponse] = None
@@ -442,6 +457,9 @@
         attempts = len(self.tried) - self._unsent
         if attempts >= self._route.max_attempts or self._is_finished():
             return
+        if self._has_crashed:
+            # The call could take down the other replicas one by one.
+            return
         replica = self._gateway.choose(self._service, self.tried)
         if replica is None:
             return
@@ -472,6 +490,7 @@
     def _handle_failure(self, result: AttemptResult) -> None:
         if not result.is_sent:
             self._unsent += 1
+        self._has_crashed |= result.has_crashed
         if not result.is_not_run:
             self._may_have_run = True
             self._failed_response = result.response or self._failed_response
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -29,6 +29,8 @@
     NOT_RUN = 'not_run'
     IMPOSSIBLE = 'impossible'
     BROKEN = 'broken'
+    # The replica went down when it had the item.
+    CRASHED = 'crashed'
 
 
 class Attempt:
@@ -113,6 +115,9 @@
         except exceptions.NotRunError as error:
             self.reason = error.message
             return AttemptOutcome.NOT_RUN
+        except exceptions.TargetCrashedError as error:
+            self.reason = error.message
+            return AttemptOutcome.CRASHED
         except exceptions.MayHaveRunError as error:
             self.reason = error.message
             return AttemptOutcome.BROKEN
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -462,6 +462,10 @@
         if outcome is attempts.AttemptOutcome.NOT_RUN:
             task.excluded = {replica_id}
             self._replica_tracker.record_refusal(replica_id)
+        elif outcome is attempts.AttemptOutcome.CRASHED:
+            task.excluded = {replica_id}
+            task.record_crash()
+            self._replica_tracker.record_failure(replica_id)
         elif outcome is attempts.AttemptOutcome.BROKEN:
             task.excluded = {replica_id}
             task.record_broken(attempt.run_events)
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -29,6 +29,12 @@
 # Delays between the attempts of such an item.
 FIRST_SUSPECT_DELAY_S = 0.1
 MAX_SUSPECT_DELAY_S = 1.0
+# Replicas that may go down with an item in a row before the item counts as the
+# cause. Others lose their replica together, which is chance once.
+MAX_CRASHES_IN_ROW = 1
+# Delay before the next attempt of such an item. Replicas are back after about
+# three seconds, so that it takes down one at a time.
+CRASH_DELAY_S = 3.0
 
 
 class ItemTask:
@@ -58,6 +64,7 @@
         self.attempt_count = 0
         self.failures = 0
         self.broken_in_row = 0
+        self.crashes_in_row = 0
         self.moves = 0
         self.excluded: set[ids.ReplicaId] = set()
         self.created_s = clock.monotonic_s()
@@ -78,11 +85,16 @@
     @property
     def is_suspect(self) -> bool:
         """Whether the item and not its replicas seems to break attempts."""
-        return self.broken_in_row > MAX_BROKEN_IN_ROW
+        return (
+            self.broken_in_row > MAX_BROKEN_IN_ROW
+            or self.crashes_in_row > MAX_CRASHES_IN_ROW
+        )
 
     def record_broken(self, events: int) -> None:
         """Records a broken attempt and the events that it made."""
         self.broken_in_row = 0 if events else self.broken_in_row + 1
+        if events:
+            self.crashes_in_row = 0
         if self.is_suspect:
             self._retry_at_s = (
                 clock.monotonic_s() + self._retry_delays.next_delay_s()
@@ -101,6 +113,12 @@
         self.attempt_count += 1
         self._blocked_since_s = None
 
+    def record_crash(self) -> None:
+        """Records that a replica went down with the item."""
+        self.crashes_in_row += 1
+        if self.is_suspect:
+            self._retry_at_s = clock.monotonic_s() + CRASH_DELAY_S
+
     @property
     def is_unscored(self) -> bool:
         """Whether the item waits for the score of its text."""
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -216,6 +216,8 @@
 
         Raises:
             exceptions.NotRunError: No byte was sent.
+            exceptions.TargetCrashedError: Bytes of a repeatable request were
+                sent, and the target accepts no connection any more.
             exceptions.MayHaveRunError: Bytes were sent, but no response
                 headers arrived.
         """
@@ -224,11 +226,36 @@
         if idle is not None:
             try:
                 return self._exchange(address, idle, request, read_timeout_s)
-            except exceptions.ConnectionClosedError:
+            except exceptions.ConnectionClosedError as error:
                 # The other idle connections are probably closed as well.
                 self.close_idle(address)
-        connection = self._connect(address, read_timeout_s)
-        return self._exchange(address, connection, request, read_timeout_s)
+                connection = self._reconnect(address, read_timeout_s, error)
+        else:
+            connection = self._connect(address, read_timeout_s)
+        try:
+            return self._exchange(address, connection, request, read_timeout_s)
+        except exceptions.ConnectionClosedError as error:
+            if is_repeatable:
+                self._reconnect(address, read_timeout_s, error).close()
+            raise
+
+    def _reconnect(
+        self,
+        address: ids.ReplicaAddress,
+        read_timeout_s: float,
+        error: exceptions.ConnectionClosedError,
+    ) -> urllib3.connection.HTTPConnection:
+        """Connects to a target that closed the connection of a request.
+
+        Raises:
+            exceptions.TargetCrashedError: The target accepts no connection.
+        """
+        try:
+            return self._connect(address, read_timeout_s)
+        except exceptions.NotRunError as refusal:
+            raise exceptions.TargetCrashedError(
+                f'{error.message}; then {refusal.message}'
+            ) from refusal
 
     def _exchange(
         self,
--- a/tests/functional/test_target_connections.py
+++ b/tests/functional/test_target_connections.py
@@ -22,20 +22,29 @@
     Attributes:
         requests: Requests read so far, answered or not.
         is_resetting: Whether connections are closed without a response.
+        is_crashing: Whether the target goes down with the next request.
     """
 
     def __init__(self):
         self.requests = 0
         self.is_resetting = False
+        self.is_crashing = False
         super().__init__()
 
     def answer(self, connection):
         with contextlib.closing(connection):
             if self._read_request(connection):
-                if self.is_resetting:
+                if self._is_broken():
                     return
                 connection.sendall(RESPONSE)
             self._read_request(connection)
+            self._is_broken()
+
+    def _is_broken(self):
+        """Whether there is no response; a crash also ends the listener."""
+        if self.is_crashing:
+            self.close()
+        return self.is_resetting or self.is_crashing
 
     def _read_request(self, connection):
         """Reads a complete request, which may arrive in several parts."""
@@ -123,3 +132,23 @@
     with pytest.raises(exceptions.ConnectionClosedError):
         client.request('POST', url, timeout_s=2.0, body=b'record')
     assert target.requests == 2
+
+
+@pytest.mark.parametrize('has_idle', [True, False])
+def test_request_that_takes_its_target_down_may_have_run(target, has_idle):
+    # Guards against a refusal that says the request has not run, as the next
+    # connection is refused, and against a crash that looks like a reset.
+    connections = target_connections.TargetConnections()
+    if has_idle:
+        assert send(connections, target, is_repeatable=True) == b'ok'
+    target.is_crashing = True
+    with pytest.raises(exceptions.TargetCrashedError):
+        send(connections, target, is_repeatable=True)
+    assert target.requests == has_idle + 1
+
+
+def test_connection_to_a_target_that_is_down_has_sent_nothing(target):
+    target.close()
+    connections = target_connections.TargetConnections()
+    with pytest.raises(exceptions.NotRunError):
+        send(connections, target, is_repeatable=True)
--- a/tests/lib/keep_alive_server.py
+++ b/tests/lib/keep_alive_server.py
@@ -17,15 +17,19 @@
     def __init__(self) -> None:
         self.connections = 0
         self._listener = socket.create_server(('127.0.0.1', 0))
+        self._port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def address(self) -> str:
         """Address "ip:port"."""
-        return f'127.0.0.1:{self._listener.getsockname()[1]}'
+        return f'127.0.0.1:{self._port}'
 
     def close(self) -> None:
         """Stops accepting connections."""
+        # Closing alone does not end an accept that another thread waits in.
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def answer(self, connection: socket.socket) -> None:
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -50,15 +50,16 @@
     return job_builders.make_route(kind=kind, timeout_s=5.0)
 
 
-def make_gateway(kernel, monkeypatch, failing):
+def make_gateway(kernel, monkeypatch, failing, error=None):
     """A gateway whose attempts at some replicas raise an error."""
+    error = error or LookupError('unexpected')
     gateway = plugin.Gateway(kernel)
     sent = []
 
     def send(replica, *_):
         sent.append(replica.replica_id)
         if replica.replica_id in failing:
-            raise LookupError('unexpected')
+            raise error
         response = calls.LiveResponse(200, (), b'')
         return plugin.AttemptResult(replica, response, False, 'status 200')
 
@@ -83,3 +84,35 @@
     with pytest.raises(exceptions.MayHaveRunError):
         gateway.forward(make_route(deployment.RouteKind.UNSAFE), make_call())
     assert len(sent) == 1
+
+
+def send_with(kernel, monkeypatch, error):
+    """Sends a safe call whose attempts end with an error; returns them."""
+    gateway = plugin.Gateway(kernel)
+    sent = []
+
+    def send(address, *_, **__):
+        sent.append(address)
+        raise error
+
+    monkeypatch.setattr(gateway._connections, 'send', send)
+    kernel.plugins['directory'].platform.make_headers = lambda *_, **__: []
+    with pytest.raises(exceptions.MayHaveRunError):
+        gateway.forward(make_route(deployment.RouteKind.SAFE), make_call())
+    return sent
+
+
+def test_call_that_takes_a_replica_down_is_sent_to_no_other(
+    kernel, monkeypatch
+):
+    # Guards against one deadly call that takes down all replicas of a service.
+    error = exceptions.TargetCrashedError('closed; then refused')
+    assert len(send_with(kernel, monkeypatch, error)) == 1
+
+
+def test_safe_call_that_was_reset_is_sent_to_another_replica(
+    kernel, monkeypatch
+):
+    # The replica still accepts connections, so the call did not end it.
+    error = exceptions.ConnectionClosedError('closed')
+    assert len(set(send_with(kernel, monkeypatch, error))) == 2
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -9,6 +9,7 @@
 from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
+from lentildeal._internal.jobs import tasks
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import clock
@@ -58,6 +59,9 @@
     def complete(self):
         self._end.send(attempts.AttemptOutcome.COMPLETE)
 
+    def crash(self):
+        self._end.send(attempts.AttemptOutcome.CRASHED)
+
     def raise_error(self):
         self._end.send_exception(LookupError('unexpected'))
 
@@ -273,3 +277,29 @@
     store_kernel.wait_for(lambda: 'i0' in engines.runs)
     assert clock.monotonic_s() - started_s < 0.5
     assert engines.runs['i0'].replica != run.replica
+
+
+def test_item_that_takes_replicas_down_does_so_one_at_a_time(
+    kernel, log, engines, monkeypatch
+):
+    """Guards against a deadly item that keeps all replicas down.
+
+    One crash may be chance and delays no item; after two in a row the item
+    waits until a replica is back.
+    """
+    monkeypatch.setattr(tasks, 'CRASH_DELAY_S', 0.7)
+    add = kernel.plugins['directory'].replicas.apply
+    for number in range(6):
+        replica = job_builders.make_replica(f'r{number}')
+        add(deployment.ReplicaChange(replica.replica_id, replica))
+    submit(log, 'bad', ('bad',))
+    started_s = []
+    for _ in range(4):
+        store_kernel.wait_for(lambda: 'bad' in engines.runs)
+        started_s.append(clock.monotonic_s())
+        engines.runs.pop('bad').crash()
+    gaps_s = [b - a for a, b in zip(started_s, started_s[1:], strict=False)]
+    assert gaps_s[0] < 0.5
+    assert min(gaps_s[1:]) >= 0.7
+    submit(log, 'good', ('i0', 'i1'))
+    store_kernel.wait_for(lambda: {'i0', 'i1'} <= set(engines.runs))
