Keep open jobs and those that were closed a moment ago

Trainers got 404 at all daemons for a step that was open for longer than status_s and a minute; results that they had read were gone.

Cause: jobs were dropped by the age of their submission alone. A job is now dropped only if it has also been closed for a minute. Ruled out: the store, which still had all records.

--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -13,6 +13,10 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 
+# Time for which a closed job is kept at least. A trainer reads about twice a
+# second, and repeats an end that got no answer for some seconds.
+CLOSED_KEPT_S = 60.0
+
 
 @dataclasses.dataclass(frozen=True)
 class ListedResult:
@@ -64,6 +68,7 @@
         self.checkpoints: dict[int, SavedProgress] = {}
         self.is_ended = False
         self._listed: set[int] = set()
+        self._closed_since_s: typing.Optional[float] = None
 
     @property
     def is_complete(self) -> bool:
@@ -75,6 +80,18 @@
         """Whether items are still to be run."""
         return not (self.is_ended or self.is_complete)
 
+    def measure_closed_s(self, now_s: float) -> float:
+        """Returns since how long the job is known to be closed.
+
+        Args:
+            now_s: Current time; counted from the first call for a closed job.
+        """
+        if self.is_open:
+            return 0.0
+        if self._closed_since_s is None:
+            self._closed_since_s = now_s
+        return now_s - self._closed_since_s
+
     def make_location(
         self, offset: ids.Offset, size_bytes: int
     ) -> records.RecordLocation:
@@ -176,12 +193,25 @@
             return self._apply_result(entry, record)
         return self._apply_checkpoint(entry, record)
 
-    def drop_submitted_before(self, unix_ms: int) -> int:
-        """Drops old jobs and returns how many were dropped."""
+    def drop_old(self, submitted_before_ms: int, now_s: float) -> int:
+        """Drops old jobs that have been closed for a while.
+
+        The results of an open job stay readable, however long it is open, and
+        its trainer has to be able to read the last ones.
+
+        Args:
+            submitted_before_ms: Unix time of the submission before which
+                results may be dropped, in milliseconds.
+            now_s: Current time, by a clock of this process.
+
+        Returns:
+            Number of jobs that were dropped.
+        """
         old = [
             job_id
             for job_id, entry in self._jobs.items()
-            if entry.head.submitted_ms < unix_ms
+            if entry.measure_closed_s(now_s) >= CLOSED_KEPT_S
+            and entry.head.submitted_ms < submitted_before_ms
         ]
         for job_id in old:
             del self._jobs[job_id]
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -417,8 +417,8 @@
         while True:
             eventlet.sleep(PURGE_INTERVAL_S)
             age_s = self._settings.status_s + RETENTION_MARGIN_S
-            self.table.drop_submitted_before(
-                int((clock.unix_s() - age_s) * 1000)
+            self.table.drop_old(
+                int((clock.unix_s() - age_s) * 1000), clock.monotonic_s()
             )
 
 
