Store a long text as several records of one append

No result of any trainer was listed any more once one item had a text above the record size of the store.

Cause: a text was one record, which the store refuses each time, and the queue of appends retried it first, alone. Ruled out: the replicas, which finished their items, and the lease, which its holder kept.

A text above the limit is split over consecutive records; its location counts them. A text that does not fit into one append is given up and logged, instead of blocking the queue.

Without the split two new tests fail.

--- a/src/lentildeal/_internal/jobs/append_queue.py
+++ b/src/lentildeal/_internal/jobs/append_queue.py
@@ -115,12 +115,14 @@
     def _pop_batch(self) -> list[_QueuedRecord]:
         batch: list[_QueuedRecord] = []
         size_bytes = 0
-        while self._queue and size_bytes < self._batch_bytes:
-            queued = self._queue.popleft()
+        while self._queue:
+            queued = self._queue[0]
             # A character takes up to four bytes in UTF-8.
             text_bytes = 4 * sum(map(len, queued.events or ()))
             size_bytes += RECORD_OVERHEAD_BYTES + text_bytes
-            batch.append(queued)
+            if batch and size_bytes > self._batch_bytes:
+                break
+            batch.append(self._queue.popleft())
         return batch
 
     def _append_batch(self, batch: list[_QueuedRecord]) -> list[_QueuedRecord]:
@@ -190,6 +192,7 @@
                 batch[number].record,
                 offset=location.offset,
                 size_bytes=location.size_bytes,
+                record_count=location.record_count,
             )
             batch[number] = _QueuedRecord(record, None)
 
--- a/src/lentildeal/_internal/jobs/recording.py
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -36,6 +36,13 @@
     ) -> None:
         """Enqueues the result of an item and marks the item as done."""
         task.is_done = True
+        if not self._log.can_store(progress.events):
+            self._emit_too_large(task, progress)
+            state, progress, score = (
+                jobs.ResultState.GIVEN_UP,
+                jobs.Progress(),
+                '',
+            )
         record = records.ItemResult(
             task.entry.head.job_id,
             task.index,
@@ -86,6 +93,9 @@
         self, task: tasks.ItemTask, progress: jobs.Progress, is_complete: bool
     ) -> None:
         task.saved_events = len(progress.events)
+        if not self._log.can_store(progress.events):
+            self._emit_too_large(task, progress)
+            return
         record = records.Checkpoint(
             task.entry.head.job_id,
             task.index,
@@ -95,3 +105,18 @@
             is_complete=is_complete,
         )
         self._log.enqueue(record, progress.events)
+
+    def _emit_too_large(
+        self, task: tasks.ItemTask, progress: jobs.Progress
+    ) -> None:
+        """Reports a text that the store can't take.
+
+        Its append would be refused each time and would block the ones of all
+        other items.
+        """
+        events.emit(
+            'text_too_large',
+            item=task.item.item_id,
+            job=task.entry.head.job_id,
+            characters=sum(map(len, progress.events)),
+        )
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -29,11 +29,24 @@
 
 
 class RecordLocation(typing.NamedTuple):
-    """Location of a record in a text stream."""
+    """Location of a text in a text stream.
+
+    Attributes:
+        stream: The stream.
+        offset: Offset of its first record.
+        size_bytes: Size of the encoded text.
+        record_count: Number of consecutive records that hold it.
+    """
 
     stream: str
     offset: ids.Offset
     size_bytes: int
+    record_count: int = 1
+
+    @property
+    def end(self) -> ids.Offset:
+        """Offset after its last record."""
+        return ids.Offset(self.offset + self.record_count)
 
 
 def text_stream_name(job_id: ids.JobId) -> str:
@@ -84,8 +97,9 @@
         state: Value of ``jobs.ResultState``.
         versions: Versions that generated the text.
         offset: Offset of the text, -1 without one.
-        size_bytes: Size of the record with the text.
+        size_bytes: Size of the encoded text.
         score: Signature of the answer that scored the text, empty without one.
+        record_count: Number of records that hold the text.
     """
 
     job_id: ids.JobId
@@ -95,6 +109,7 @@
     offset: int = -1
     size_bytes: int = 0
     score: str = ''
+    record_count: int = 1
 
 
 @register_record(3)
@@ -117,8 +132,9 @@
         event_count: Number of events of the text.
         last_event_id: Identifier of the last event.
         offset: Offset of the text.
-        size_bytes: Size of the record with the text.
+        size_bytes: Size of the encoded text.
         is_complete: Whether the text is complete and only lacks its score.
+        record_count: Number of records that hold the text.
     """
 
     job_id: ids.JobId
@@ -129,6 +145,7 @@
     offset: int = -1
     size_bytes: int = 0
     is_complete: bool = False
+    record_count: int = 1
 
 
 @register_record(5)
@@ -324,6 +341,14 @@
     )
 
 
+def split_body(body: bytes, record_bytes: int) -> list[bytes]:
+    """Splits an encoded text into records of a limited size."""
+    return [
+        body[start : start + record_bytes]
+        for start in range(0, len(body), record_bytes)
+    ]
+
+
 def decode(body: bytes) -> typing.Any:
     """Decodes a record.
 
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -61,7 +61,7 @@
         self.item_ids = accepted.item_ids
         # Index of the first item of each part, and location of the part.
         self.parts = tuple(
-            (first, self.make_location(offset, size_bytes))
+            (first, self.make_location(offset, size_bytes, 1))
             for first, offset, size_bytes in accepted.parts
         )
         self.results: list[ListedResult] = []
@@ -93,11 +93,11 @@
         return now_s - self._closed_since_s
 
     def make_location(
-        self, offset: ids.Offset, size_bytes: int
+        self, offset: ids.Offset, size_bytes: int, record_count: int
     ) -> records.RecordLocation:
-        """Location of a record in the text stream of this job."""
+        """Location of a text in the text stream of this job."""
         stream = records.text_stream_name(self.head.job_id)
-        return records.RecordLocation(stream, offset, size_bytes)
+        return records.RecordLocation(stream, offset, size_bytes, record_count)
 
     def is_listed(self, index: int) -> bool:
         """Whether an item has a result."""
@@ -244,7 +244,9 @@
     ) -> bool:
         location = None
         if record.offset >= 0:
-            location = entry.make_location(record.offset, record.size_bytes)
+            location = entry.make_location(
+                record.offset, record.size_bytes, record.record_count
+            )
         result = ListedResult(
             record.index,
             jobs.ResultState(record.state),
@@ -268,7 +270,9 @@
             record.versions,
             record.event_count,
             record.last_event_id,
-            entry.make_location(record.offset, record.size_bytes),
+            entry.make_location(
+                record.offset, record.size_bytes, record.record_count
+            ),
             record.is_complete,
         )
         known = entry.checkpoints.get(record.index)
--- a/src/lentildeal/_internal/jobs/texts.py
+++ b/src/lentildeal/_internal/jobs/texts.py
@@ -47,7 +47,7 @@
         if (
             last is not None
             and last.stream == location.stream
-            and last.offset + 1 == location.offset
+            and last.end == location.offset
             and sum(p.size_bytes for p in groups[-1]) < MAX_GROUP_BYTES
         ):
             groups[-1].append(location)
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -48,6 +48,8 @@
 # Jobs are dropped this long after their results may no longer be requested.
 RETENTION_MARGIN_S = 60.0
 PURGE_INTERVAL_S = 10.0
+# Upper bound of the length prefixes of the records of one text.
+TEXT_OVERHEAD_BYTES = 4096
 
 _appends_total = prometheus_client.Counter(
     'lentildeal_work_log_appends_total', 'Appends by outcome.', ['outcome']
@@ -164,15 +166,21 @@
                 their locations are unknown.
         """
         bodies = [records.encode(text) for text in texts]
-        first = self._append(stream, bodies, timeout_s)
-        locations = [
-            records.RecordLocation(
-                stream, ids.Offset(first + number), len(body)
-            )
-            for number, body in enumerate(bodies)
+        split = [
+            records.split_body(body, self._settings.record_bytes)
+            for body in bodies
         ]
-        for location, body in zip(locations, bodies, strict=True):
+        offset = self._append(
+            stream, [part for parts in split for part in parts], timeout_s
+        )
+        locations = []
+        for body, parts in zip(bodies, split, strict=True):
+            location = records.RecordLocation(
+                stream, offset, len(body), len(parts)
+            )
+            locations.append(location)
             self._cache.put(location, body)
+            offset = location.end
         return locations
 
     def _append(
@@ -242,6 +250,14 @@
             if self._next >= page.end:
                 return
 
+    def can_store(self, text_events: tuple[str, ...]) -> bool:
+        """Whether a text fits into one append."""
+        limit = self._settings.call_bytes - TEXT_OVERHEAD_BYTES
+        # A character takes up to four bytes in UTF-8.
+        if 4 * sum(map(len, text_events)) <= limit // 2:
+            return True
+        return len(records.encode(records.EventTexts(text_events))) <= limit
+
     def clear_text_cache(self) -> None:
         """Drops all cached texts."""
         self._cache = texts_module.TextCache()
@@ -271,16 +287,13 @@
     def _read_group(
         self, group: list[records.RecordLocation]
     ) -> dict[records.RecordLocation, bytes]:
-        # Adds the length prefix of each record and the header of the page.
-        limit = sum(p.size_bytes + 4 for p in group) + 1024
-        page = self._store.read(
-            group[0].stream, group[0].offset, limit_bytes=limit
-        )
-        found = {raw.offset: raw.body for raw in page.records}
+        start = group[0].offset
+        parts = self._read_records(group)
         bodies = {}
         for location in group:
-            body = found.get(location.offset)
-            if body is None or len(body) != location.size_bytes:
+            first = location.offset - start
+            body = b''.join(parts[first : first + location.record_count])
+            if len(body) != location.size_bytes:
                 raise exceptions.LogUnavailableError(
                     f'text {location.offset} of {location.stream} is missing'
                 )
@@ -288,6 +301,30 @@
             self._cache.put(location, body)
         return bodies
 
+    def _read_records(
+        self, group: list[records.RecordLocation]
+    ) -> list[bytes]:
+        """Reads the records of adjacent texts; a read may return only some.
+
+        Raises:
+            exceptions.PlatformError: The store did not respond, or has
+                dropped a record.
+        """
+        stream, next_offset = group[0].stream, group[0].offset
+        end = group[-1].end
+        # Each record has a length prefix, and the page a header.
+        limit = sum(p.size_bytes + 4 * p.record_count for p in group) + 1024
+        found: list[bytes] = []
+        while next_offset < end:
+            page = self._store.read(stream, next_offset, limit_bytes=limit)
+            if not page.records or page.records[0].offset != next_offset:
+                raise exceptions.LogUnavailableError(
+                    f'record {next_offset} of {stream} is missing'
+                )
+            found.extend(raw.body for raw in page.records)
+            next_offset = ids.Offset(next_offset + len(page.records))
+        return found[: end - group[0].offset]
+
     def _follow(self) -> None:
         delays = backoff.Backoff(FIRST_RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         reads = read_pacing.ReadPacer(
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -183,6 +183,13 @@
     version='Version that generated the text.',
     events='Events of the text, which are discarded.',
 )
+define(
+    'text_too_large',
+    'The text of an item does not fit into one append; it is not stored.',
+    item='The item.',
+    job='Its job.',
+    characters='Length of the text.',
+)
 define(
     'text_outdated',
     'A job was accepted under a published text that the daemon has not read.',
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -43,6 +43,8 @@
         self.read_delay_s = 0.0
         self.reads = 0
         self.failing_text_reads = 0
+        # Largest record, None for no limit.
+        self.record_bytes: int | None = None
 
     def append(self, stream, bodies, *, timeout_s=None):
         """See the base class."""
@@ -51,6 +53,9 @@
             raise exceptions.LogAnswerLostError('no answer in time')
         fault = self.faults.pop(0) if self.faults else None
         is_failing = self.is_down or stream == self.failing_stream
+        limit = self.record_bytes
+        if limit is not None and any(len(body) > limit for body in bodies):
+            raise exceptions.LogUnavailableError('a record is too large')
         if is_failing or fault is Fault.REFUSED:
             raise exceptions.LogUnavailableError('refused')
         if fault is Fault.LATE:
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -15,6 +15,7 @@
 
 WAIT_S = 10.0
 RETENTION_S = 300.0
+RECORD_BYTES = 262_144
 
 
 class StoreKernel:
@@ -33,7 +34,7 @@
             instance='a',
             store=types.SimpleNamespace(
                 call_bytes=2_000_000,
-                record_bytes=262_144,
+                record_bytes=RECORD_BYTES,
                 retention_s=RETENTION_S,
                 status_s=status_s,
             ),
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -303,3 +303,23 @@
     assert min(gaps_s[1:]) >= 0.7
     submit(log, 'good', ('i0', 'i1'))
     store_kernel.wait_for(lambda: {'i0', 'i1'} <= set(engines.runs))
+
+
+def test_text_that_the_store_cannot_take_is_given_up(kernel, log, engines):
+    # Guards against an append that is refused without end and blocks others.
+    replica = job_builders.make_replica('r1')
+    kernel.plugins['directory'].replicas.apply(
+        deployment.ReplicaChange('r1', replica)
+    )
+    submit(log, 'job', ('i0', 'i1'))
+    store_kernel.wait_for(lambda: len(engines.runs) == 2)
+    engines.runs['i0'].progress = jobs.Progress(('x' * 3_000_000,), '0', (1,))
+    engines.runs['i1'].progress = jobs.Progress(('text',), '0', (1,))
+    for run in engines.runs.values():
+        run.complete()
+    store_kernel.wait_for(lambda: log.table.get('job').is_complete)
+    states = {r.index: r.state for r in log.table.get('job').results}
+    assert states == {
+        0: jobs.ResultState.GIVEN_UP,
+        1: jobs.ResultState.DONE,
+    }
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -4,6 +4,7 @@
 import time
 
 import eventlet
+import msgpack
 import pytest
 
 from lentildeal._internal import exceptions
@@ -225,3 +226,46 @@
     location = records.RecordLocation(records.text_stream_name('job'), 3, 8)
     with pytest.raises(exceptions.LogUnavailableError):
         log.read_texts([location])
+
+
+def test_text_above_the_record_size_blocks_no_other_result(store, log):
+    """Guards against one long text that stops the results of all jobs.
+
+    The store refuses records above its limit, each time.
+    """
+    store.record_bytes = store_kernel.RECORD_BYTES
+    log.append([job_builders.make_accepted()])
+    store_kernel.wait_for(lambda: entry_of(log))
+    long_events = ('x' * 1000, '\u20ac' * store_kernel.RECORD_BYTES, 'end')
+    list_result(log, 0, long_events)
+    list_result(log, 1, ('short',))
+    store_kernel.wait_for(lambda: entry_of(log).is_complete)
+    log.clear_text_cache()
+    texts = log.read_texts([r.location for r in entry_of(log).results])
+    found = {r.index: t.events for r, t in zip(entry_of(log).results, texts)}
+    assert found == {0: long_events, 1: ('short',)}
+
+
+def test_adjacent_texts_of_several_records_are_read_in_one_go(store, log):
+    # Guards against a reader that takes the records of one text for another.
+    store.record_bytes = store_kernel.RECORD_BYTES
+    stream = records.text_stream_name('job')
+    written = [
+        records.EventTexts((letter * size,))
+        for letter, size in (
+            ('a', 10),
+            ('b', 600_000),
+            ('c', 5),
+            ('d', 300_000),
+        )
+    ]
+    locations = log.append_texts(stream, written)
+    log.clear_text_cache()
+    assert log.read_texts(locations[::-1]) == written[::-1]
+    assert [p.record_count for p in locations] == [1, 3, 1, 2]
+
+
+def test_result_of_one_record_is_read_by_older_releases():
+    # Older releases know no number of records.
+    short = records.ItemResult('job', 0, 'done', (1,), 5, 8)
+    assert len(msgpack.unpackb(records.encode(short))) == 7
