Keep the mark of a leaving replica when an older answer follows

A late answer of the process before under the same id replaced the mark of the newer process, so a late entry could bring the replica back. Found by reading; test_late_answer_of_an_earlier_start_takes_no_mark_away fails before.

--- a/src/lentildeal/_internal/directory/replicas.py
+++ b/src/lentildeal/_internal/directory/replicas.py
@@ -87,7 +87,9 @@
         Returns:
             Whether this was not known yet.
         """
-        self._leaving[replica.replica_id] = replica.started_ms
+        self._leaving[replica.replica_id] = max(
+            replica.started_ms, self._leaving.get(replica.replica_id, 0)
+        )
         if len(self._leaving) > MAX_LEAVING:
             self._leaving = {
                 replica_id: started_ms
--- a/tests/unit/directory/test_replicas.py
+++ b/tests/unit/directory/test_replicas.py
@@ -136,6 +136,17 @@
     assert ready(table) == ['r1']
 
 
+def test_late_answer_of_an_earlier_start_takes_no_mark_away(table):
+    # Guards against requests to a replica that said it is leaving before an
+    # answer of its earlier process came.
+    before = table.get('r1')
+    table.apply(make_change(started_ms=9))
+    table.mark_leaving(table.get('r1'))
+    table.mark_leaving(before)
+    table.apply(make_change(started_ms=9))
+    assert ready(table) == []
+
+
 def test_replicas_that_left_long_ago_are_forgotten(table):
     for number in range(2 * replicas.MAX_LEAVING):
         table.mark_leaving(job_builders.make_replica(f'gone{number}'))
