--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import typing
 import urllib.parse
 
@@ -20,6 +19,7 @@
 from lentildeal._internal.models import jobs
 from lentildeal._internal.network import http_server
 from lentildeal._internal.network import problems
+from lentildeal._internal.platform import documents
 from lentildeal._internal.platform import names
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import decimals
@@ -168,13 +168,7 @@
             ),
             items,
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        RecursionError,
-    ) as error:
+    except documents.DECODE_ERRORS as error:
         raise exceptions.BadRequestError(
             f'job {job_id} is not valid: {error!r:.200}'
         ) from error
@@ -226,16 +220,7 @@
             expected_tokens=hint,
             scoring=_decode_scoring(entry.get('Scorer')),
         )
-    except (
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-        OverflowError,
-        RecursionError,
-        binascii.Error,
-        exceptions.BadRequestError,
-    ) as error:
+    except (*documents.DECODE_ERRORS, exceptions.BadRequestError) as error:
         raise ValueError(f'item {item_id!r:.50}: {error!r:.200}') from error
 
 
