--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -116,11 +116,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class ReplicaLoad:
-    """Load that a replica reports with a response."""
+    """Load that a replica reports with a response.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait there.
+        slots: Requests that it runs concurrently.
+        work_factor: How long work takes there now, 1.0 is usual; None if it
+            does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_factor: typing.Optional[float] = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -190,6 +199,7 @@
         request_id: typing.Optional[str] = None,
         deadline_s: typing.Optional[float] = None,
         resume_after: typing.Optional[str] = None,
+        account: typing.Optional[ids.AccountName] = None,
     ) -> list[tuple[str, str]]:
         """Makes the headers that the daemon adds to a request.
 
@@ -198,6 +208,7 @@
             request_id: Identifier, if the headers of the caller have none.
             deadline_s: Remaining time, in seconds.
             resume_after: Identifier of the event after which to resume.
+            account: Client account of the request, None for none.
         """
 
     @abc.abstractmethod
@@ -220,6 +231,26 @@
             exceptions.PlatformError: The replica did not respond.
         """
 
+    def report_usage(self, report: UsageReport, duty: DutyTerm) -> DutyOutcome:
+        """Reports the use of a window; called by the holder of the duty only.
+
+        Raises:
+            exceptions.PlatformError: The call may have taken effect, or may
+                still take effect later.
+        """
+        raise NotImplementedError
+
+    def order_replicas(
+        self, order: ReplicaOrder, duty: DutyTerm
+    ) -> DutyOutcome:
+        """Orders replicas; called by the holder of the duty only.
+
+        Raises:
+            exceptions.PlatformError: The call may have taken effect, or may
+                still take effect later.
+        """
+        raise NotImplementedError
+
     @abc.abstractmethod
     def order_version(
         self,
@@ -256,6 +287,58 @@
     expected_orders: int
 
 
+class DutyOutcome(str, enum.Enum):
+    """Answer of the platform to a call that only one daemon may make."""
+
+    DONE = 'done'
+    # The platform has seen a higher token, or has no such replicas now.
+    REFUSED = 'refused'
+    THROTTLED = 'throttled'
+
+
+@dataclasses.dataclass(frozen=True)
+class DutyTerm:
+    """Holder of a duty.
+
+    Attributes:
+        holder: Instance that holds the lease.
+        fence: Fencing token of the lease.
+    """
+
+    holder: ids.InstanceId
+    fence: ids.FencingToken
+
+
+@dataclasses.dataclass(frozen=True)
+class UsageReport:
+    """Requests that replicas began to run in a window.
+
+    Attributes:
+        window: Number of the window.
+        counts: Requests of each account.
+    """
+
+    window: int
+    counts: typing.Mapping[ids.AccountName, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class ReplicaOrder:
+    """Number of replicas wanted, absolute, so that a repeat is harmless.
+
+    Attributes:
+        service: Service of the replicas.
+        failure_domain: Where they run.
+        count: Number wanted.
+        is_spot: Whether these are replicas that may be reclaimed.
+    """
+
+    service: ids.ServiceName
+    failure_domain: ids.FailureDomain
+    count: int
+    is_spot: bool = False
+
+
 platforms: base.Registry[Platform] = base.Registry('platform')
 
 
--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -5,6 +5,7 @@
 import dataclasses
 import typing
 
+from lentildeal._internal.models import ids
 from lentildeal._internal.utils import clock
 
 # Headers of a single connection (RFC 9110, section 7.6.1).
@@ -37,6 +38,8 @@
         body: Complete body.
         deadline: When the caller stops waiting.
         is_client_gone: Returns whether the caller has closed its connection.
+        account: Client account of the caller, None without accounts.
+        priority: Rank of the call, 0 is the highest.
         is_own: Whether the daemon itself makes the call, so that its headers
             lack the identifier.
     """
@@ -51,6 +54,8 @@
     deadline: clock.Deadline
     is_client_gone: typing.Callable[[], bool]
     is_own: bool = False
+    account: typing.Optional[ids.AccountName] = None
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -280,6 +280,7 @@
                 replica,
                 request_id=call.request_id if call.is_own else None,
                 deadline_s=deadline.remaining_s,
+                account=call.account,
             )
         )
         try:
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -94,13 +94,25 @@
             self.run_events - 1
         )
 
-    def run(self, host: str, item: jobs.Item) -> AttemptOutcome:
-        """Runs the item and returns the outcome; sets ``reason``."""
+    def run(
+        self,
+        host: str,
+        item: jobs.Item,
+        account: typing.Optional[ids.AccountName] = None,
+    ) -> AttemptOutcome:
+        """Runs the item and returns the outcome; sets ``reason``.
+
+        Args:
+            host: Host of the job's route.
+            item: Item to run.
+            account: Client account of the job, None without one.
+        """
         headers = [*item.headers.items(), ('Host', host)]
         headers += self._platform.make_headers(
             self.replica,
             request_id=item.item_id,
             resume_after=self._last_event_id,
+            account=account,
         )
         try:
             response = self._connections.send(
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -252,7 +252,7 @@
             timeout_s,
         )
         return records.JobAccepted(
-            dataclasses.astuple(job.head),
+            records.encode_head(job.head),
             tuple(item.item_id for item in job.items),
             tuple(
                 (first, location.offset, location.size_bytes)
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -65,6 +65,12 @@
     return add
 
 
+def encode_head(head: jobs.JobHead) -> tuple:
+    """Encodes the head of a job, as older releases do without an account."""
+    fields = dataclasses.astuple(head)
+    return fields if head.account is not None else fields[:-1]
+
+
 @register_record(1)
 @dataclasses.dataclass(frozen=True)
 class JobAccepted:
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -413,7 +413,8 @@
         self, task: tasks.ItemTask, attempt: attempts.Attempt
     ) -> None:
         try:
-            outcome = attempt.run(task.entry.head.host, task.item)
+            head = task.entry.head
+            outcome = attempt.run(head.host, task.item, head.account)
         except Exception as error:
             logger.opt(exception=error).error('attempt failed')
             attempt.reason = f'internal error: {error!r:.200}'
--- a/src/lentildeal/_internal/models/deployment.py
+++ b/src/lentildeal/_internal/models/deployment.py
@@ -55,6 +55,8 @@
         is_single_version: Whether a single version must generate a whole
             sample.
         is_resumable: Whether a stream may continue at another replica.
+        is_public: Whether its requests need no key of an account.
+        priority: Rank of its requests, 0 is the highest.
     """
 
     name: ids.RouteName
@@ -69,6 +71,45 @@
     max_item_age_s: float = 0.0
     is_single_version: bool = False
     is_resumable: bool = False
+    is_public: bool = False
+    priority: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Account:
+    """A client account.
+
+    Attributes:
+        name: Name in the published text.
+        keys: Keys by which its clients identify themselves. Secret: they must
+            not appear in a log, a metric, an error or a request to a replica.
+        priority: Rank of its requests, 0 is the highest; None for the
+            priority of the route.
+    """
+
+    name: ids.AccountName
+    keys: frozenset[str] = dataclasses.field(repr=False)
+    priority: typing.Optional[int] = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Scaling:
+    """Bounds and prices of the replicas that may be ordered for a service.
+
+    Attributes:
+        min_replicas: Fewest replicas in a failure domain.
+        max_replicas: Most replicas in a failure domain, of both kinds.
+        start_s: Time until an ordered replica serves, in seconds.
+        spot_price: Price of a replica that may be reclaimed, as a share of
+            the price of one that may not.
+        prices: Price of a replica for a second in each failure domain.
+    """
+
+    min_replicas: int
+    max_replicas: int
+    start_s: float
+    spot_price: float
+    prices: dict[ids.FailureDomain, float]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -83,6 +124,7 @@
             without models.
         max_connections: Maximum number of connections to one replica.
         tokens_per_event: Tokens that an engine sends in one event.
+        scaling: Bounds of its ordered replicas, None if none are ordered.
     """
 
     name: ids.ServiceName
@@ -90,6 +132,7 @@
     slots: int
     max_connections: int
     tokens_per_event: int = 1
+    scaling: typing.Optional[Scaling] = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -102,12 +145,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class PublishedText:
-    """One version of the published text: routes, services and limits."""
+    """One version of the published text.
+
+    Attributes:
+        version: Version, which grows.
+        routes: Routes of requests.
+        services: Services by name.
+        limits: Limits on the size of a request.
+        accounts: Client accounts by name, None if requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[ids.ServiceName, Service]
     limits: IngressLimits
+    accounts: typing.Optional[dict[ids.AccountName, Account]] = None
 
     def find_route(self, host: str, path: str) -> typing.Optional[Route]:
         """Returns the route with the longest matching prefix, if any."""
--- a/src/lentildeal/_internal/models/ids.py
+++ b/src/lentildeal/_internal/models/ids.py
@@ -5,6 +5,8 @@
 InstanceId = typing.NewType('InstanceId', str)
 Incarnation = typing.NewType('Incarnation', int)
 FailureDomain = typing.NewType('FailureDomain', str)
+# Name of a client account of the published text.
+AccountName = typing.NewType('AccountName', str)
 ClubName = typing.NewType('ClubName', str)
 TargetName = typing.NewType('TargetName', str)
 ServiceName = typing.NewType('ServiceName', str)
--- a/src/lentildeal/_internal/models/jobs.py
+++ b/src/lentildeal/_internal/models/jobs.py
@@ -71,6 +71,7 @@
         required_groups: Complete groups that the trainer waits for.
         submitted_ms: Unix time of the submission, in milliseconds.
         item_count: Number of items.
+        account: Client account that submitted it, None without one.
     """
 
     job_id: ids.JobId
@@ -82,6 +83,7 @@
     required_groups: int
     submitted_ms: int
     item_count: int
+    account: typing.Optional[ids.AccountName] = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -21,6 +21,8 @@
 # timeout leaves room for the retransmission of a lost packet after 0.2 s.
 CONTROL_TIMEOUT_S = 0.5
 MISDIRECTED_STATUS = 421
+# Figure in a load report of a replica at which work takes as long as usual.
+USUAL_WORK = 100
 
 _ORDER_OUTCOMES = {
     202: platform_base.OrderOutcome.ACCEPTED,
@@ -66,9 +68,12 @@
         request_id: typing.Optional[str] = None,
         deadline_s: typing.Optional[float] = None,
         resume_after: typing.Optional[str] = None,
+        account: typing.Optional[ids.AccountName] = None,
     ) -> list[tuple[str, str]]:
         """See the base class."""
         headers = [(names.EXPECTED_REPLICA, replica.replica_id)]
+        if account is not None:
+            headers.append((names.ACCOUNT, account))
         if request_id is not None:
             headers.append((names.REQUEST_ID, request_id))
         if deadline_s is not None:
@@ -214,7 +219,11 @@
 def _read_load(
     value: typing.Optional[str],
 ) -> typing.Optional[platform_base.ReplicaLoad]:
+    """Reads running, waiting and slots, and how long work takes in percent."""
     numbers = [decimals.read_decimal(p) for p in (value or '').split(',')]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    return platform_base.ReplicaLoad(*numbers)
+    work_factor = None
+    if len(numbers) == 4 and numbers[3] > 0:
+        work_factor = numbers[3] / USUAL_WORK
+    return platform_base.ReplicaLoad(*numbers[:3], work_factor)
--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -52,6 +52,7 @@
                 _read_amount(limits, 'MaxHeaderBytes', 16 * 1024),
                 _read_amount(limits, 'MaxBodyBytes', 32 * 1024 * 1024),
             ),
+            accounts=_decode_accounts(document.get('Tenants')),
         )
     except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
@@ -151,6 +152,45 @@
         max_item_age_s=float(_read_amount(route, 'RetentionS')),
         is_single_version=bool(route.get('SingleVersion', False)),
         is_resumable=bool(route.get('Resumable', False)),
+        is_public=bool(route.get('Public', False)),
+        priority=int(_read_amount(route, 'Priority')),
+    )
+
+
+def _decode_accounts(
+    entries: typing.Optional[list],
+) -> typing.Optional[dict[ids.AccountName, deployment.Account]]:
+    """Decodes the accounts, None if the text has none."""
+    if entries is None:
+        return None
+    accounts = {}
+    for entry in entries:
+        name = ids.AccountName(
+            http_fields.require_value(_require_string(entry['Name']))
+        )
+        priority = entry.get('Priority')
+        accounts[name] = deployment.Account(
+            name,
+            frozenset(_require_string(key) for key in entry['ApiKeys']),
+            None if priority is None else decimals.require_int(priority),
+        )
+    return accounts
+
+
+def _decode_scaling(
+    scaling: typing.Optional[dict],
+) -> typing.Optional[deployment.Scaling]:
+    if scaling is None:
+        return None
+    return deployment.Scaling(
+        min_replicas=decimals.require_int(scaling['Min']),
+        max_replicas=decimals.require_int(scaling['Max']),
+        start_s=decimals.require_amount(scaling['BootS']),
+        spot_price=_read_amount(scaling, 'SpotPrice', 1.0),
+        prices={
+            ids.FailureDomain(domain): decimals.require_amount(price)
+            for domain, price in scaling['ZonePrices'].items()
+        },
     )
 
 
@@ -165,6 +205,7 @@
         slots=int(_read_amount(engine, 'Slots')),
         max_connections=int(_read_amount(service, 'MaxConnections')),
         tokens_per_event=_read_amount(engine, 'Stride') or 1,
+        scaling=_decode_scaling(service.get('Scaling')),
     )
 
 
--- a/src/lentildeal/_internal/platform/names.py
+++ b/src/lentildeal/_internal/platform/names.py
@@ -9,6 +9,10 @@
 EXPECTED_REPLICA = 'Lentildeal-Expect-Instance'
 REPLICA_ID = 'Lentildeal-Replica-Id'
 REPLICA_LOAD = 'Lentildeal-Replica-Load'
+ACCOUNT = 'Lentildeal-Tenant'
+ACCOUNT_KEY = 'X-Api-Key'
+DUTY_HOLDER = 'Lentildeal-Duty-Holder'
+FENCING_TOKEN = 'Lentildeal-Fence-Token'
 REQUEST_LIMIT = 'Server-Limit'
 LEAVING = 'Server-Leaving'
 NOT_EXECUTED = 'Lentildeal-Not-Executed'
@@ -30,6 +34,10 @@
 REPORT_PATH = '/report'
 ORDER_PATH = '/order'
 
+# Paths of the platform's own calls.
+USAGE_PATH = '/usage'
+SCALE_PATH = '/scale'
+
 # Paths of the store.
 APPEND_PATH = '/log-append'
 READ_PATH = '/log-read'
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -44,7 +44,7 @@
         self._replicas = replicas_
         self._end = event.Event()
 
-    def run(self, _host, item):
+    def run(self, _host, item, _account=None):
         replica_id = self.replica.replica_id
         self._replicas.started.setdefault(replica_id, []).append(item.item_id)
         self._replicas.runs[item.item_id] = self
