Append open jobs again before the store drops their records

Ruled out: another record of acceptance alone (a later process would list other positions); keyed streams (can't be read by key).

Change: the lease holder appends a renewal of each open job, with new copies of its items and texts, each quarter of the retention. A renewal is void if a result or an end of the job lies between what its writer had read and the renewal; a process that did not read all records in between ignores it.

--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -281,6 +281,48 @@
     read_until: ids.Offset
 
 
+@register_record(20)
+@dataclasses.dataclass(frozen=True)
+class JobRenewal:
+    """All that the log holds of an open job, before its records expire.
+
+    It takes effect only if no result and no end of the job lies between the
+    records that the renewing daemon had read and this one. A daemon that
+    starts later would otherwise miss these.
+
+    Attributes:
+        read_until: Offset of the last record that the renewing daemon had
+            read.
+        text_version: Version of the published text of the acceptance.
+        head: See ``JobAccepted``.
+        item_ids: See ``JobAccepted``.
+        parts: See ``JobAccepted``; the new offsets of the parts.
+        results: Fields of ``ItemResult`` without the job, in order of their
+            positions.
+    """
+
+    read_until: ids.Offset
+    text_version: int
+    head: tuple
+    item_ids: tuple[ids.ItemId, ...]
+    parts: tuple[tuple[int, int, int], ...]
+    results: tuple[tuple, ...]
+
+    @property
+    def accepted(self) -> JobAccepted:
+        """Acceptance of the job."""
+        return JobAccepted(self.head, self.item_ids, self.parts)
+
+    @property
+    def job_id(self) -> ids.JobId:
+        """The job."""
+        return self.accepted.job_head.job_id
+
+    def iter_results(self) -> typing.Iterator[ItemResult]:
+        """Yields the results in order of their positions."""
+        return (ItemResult(self.job_id, *fields) for fields in self.results)
+
+
 # Records of the text streams.
 @register_record(16)
 @dataclasses.dataclass(frozen=True)
@@ -325,6 +367,7 @@
     RequestTurn,
     JobText,
     ClaimBasis,
+    JobRenewal,
 ]
 Payload = typing.Union[JobPart, EventTexts]
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -16,6 +16,7 @@
 from lentildeal._internal.jobs import open_jobs
 from lentildeal._internal.jobs import pace
 from lentildeal._internal.jobs import recording
+from lentildeal._internal.jobs import renewal
 from lentildeal._internal.jobs import scheduling
 from lentildeal._internal.jobs import scoring
 from lentildeal._internal.jobs import table
@@ -62,6 +63,10 @@
         self._wakeup = wakeup.Wakeup()
         self._recorder = recording.ItemRecorder(self._log)
         self._scorer = scoring.ItemScorer(kernel, self._recorder, self._wakeup)
+        store = kernel.settings.store
+        self._renewer = renewal.JobRenewer(
+            self._log, store.retention_s, store.call_bytes
+        )
         self._checkpointed_s = 0.0
         self._is_draining = False
 
@@ -85,6 +90,7 @@
                 self._assign_waiting()
                 self._score_generated()
                 self._save_progress()
+                self._renewer.start_due(self._iter_held_entries())
             self._connections.close_expired()
             self._wakeup.wait(
                 POLL_INTERVAL_S if self._jobs else IDLE_POLL_INTERVAL_S
@@ -141,6 +147,7 @@
                     self._recorder.save_checkpoint(task, 1)
                 task.is_done = True
             if job.tasks is not None or is_lost:
+                self._renewer.forget(job_id)
                 del self._jobs[job_id]
 
     def _holds_lease(self, model: ids.ModelName) -> bool:
@@ -213,6 +220,14 @@
         route = self._find_route(task)
         return route is not None and route.is_single_version
 
+    def _iter_held_entries(self) -> typing.Iterator[table.JobEntry]:
+        """Yields the jobs whose lease this daemon holds."""
+        return (
+            job.entry
+            for job in self._jobs.values()
+            if self._holds_lease(job.entry.head.model)
+        )
+
     def _iter_tasks(self) -> typing.Iterator[tasks.ItemTask]:
         for job in list(self._jobs.values()):
             yield from list(job.iter_tasks())
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -16,6 +16,7 @@
 # Time for which a closed job is kept at least. A trainer reads about twice a
 # second, and repeats an end that got no answer for some seconds.
 CLOSED_KEPT_S = 60.0
+NO_OFFSET = ids.Offset(-1)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,25 +52,31 @@
     Attributes:
         text_version: Version of the published text under which the job was
             accepted, 0 if unknown.
+        renewal_count: Renewals of the job that took effect.
     """
 
     def __init__(
         self, accepted: records.JobAccepted, text_version: int = 0
     ) -> None:
         self.text_version = text_version
+        self.renewal_count = 0
         self.head = accepted.job_head
         self.item_ids = accepted.item_ids
-        # Index of the first item of each part, and location of the part.
-        self.parts = tuple(
-            (first, self.make_location(offset, size_bytes, 1))
-            for first, offset, size_bytes in accepted.parts
-        )
+        self.set_parts(accepted.parts)
         self.results: list[ListedResult] = []
         self.checkpoints: dict[int, SavedProgress] = {}
         self.is_ended = False
         self._listed: set[int] = set()
         self._closed_since_s: typing.Optional[float] = None
 
+    def set_parts(self, parts: tuple[tuple[int, int, int], ...]) -> None:
+        """Sets the locations of the items; see ``records.JobAccepted``."""
+        # Index of the first item of each part, and location of the part.
+        self.parts = tuple(
+            (first, self.make_location(offset, size_bytes, 1))
+            for first, offset, size_bytes in parts
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether all items have a result."""
@@ -129,6 +136,11 @@
         self.checkpoints.pop(result.index, None)
         return True
 
+    def replace_results(self, results: list[ListedResult]) -> None:
+        """Replaces the results by the same ones at other locations."""
+        self.results = results
+        self._listed = {result.index for result in results}
+
 
 class JobTable:
     """All jobs in the work log."""
@@ -141,6 +153,10 @@
         self._first_jobs: dict[ids.ItemId, ids.JobId] = {}
         # Texts of jobs whose own record follows.
         self._text_versions: dict[ids.JobId, int] = {}
+        # Offset of the last result or end of each job.
+        self._changed_at: dict[ids.JobId, ids.Offset] = {}
+        # All records from here on were read.
+        self._read_from = ids.Offset(0)
 
     def get(self, job_id: ids.JobId) -> typing.Optional[JobEntry]:
         """Returns a job, None if it is unknown."""
@@ -171,13 +187,28 @@
                 found.append(entry.checkpoints[index])
         return max(found, key=lambda saved: saved.rank, default=None)
 
-    def apply(self, record: records.Record) -> bool:
-        """Applies a record and returns whether it changed the state."""
+    def skip_to(self, offset: ids.Offset) -> None:
+        """Handles that the records before an offset can't be read."""
+        self._read_from = offset
+
+    def apply(
+        self, record: records.Record, offset: ids.Offset = NO_OFFSET
+    ) -> bool:
+        """Applies a record and returns whether it changed the state.
+
+        Args:
+            record: Record of the work log.
+            offset: Its offset.
+        """
         if isinstance(record, records.JobAccepted):
             return self._apply_job(record)
+        if isinstance(record, records.JobRenewal):
+            return self._apply_renewal(record)
         if isinstance(record, records.JobText):
             self._text_versions[record.job_id] = record.text_version
             return False
+        if isinstance(record, (records.JobEnd, records.ItemResult)):
+            self._changed_at[record.job_id] = offset
         entry = self._jobs.get(getattr(record, 'job_id', ids.JobId('')))
         if entry is None:
             return False
@@ -216,6 +247,11 @@
         for job_id in old:
             del self._jobs[job_id]
         if old:
+            self._changed_at = {
+                job_id: offset
+                for job_id, offset in self._changed_at.items()
+                if job_id in self._jobs
+            }
             self._listed_items = {
                 item_id: found
                 for item_id, found in self._listed_items.items()
@@ -239,21 +275,37 @@
             self._first_jobs.setdefault(item_id, head.job_id)
         return True
 
+    def _apply_renewal(self, renewal: records.JobRenewal) -> bool:
+        job_id = renewal.job_id
+        changed_at = self._changed_at.get(job_id, NO_OFFSET)
+        if changed_at > renewal.read_until:
+            # The renewal lacks a result or the end; the next one has it.
+            return False
+        entry = self._jobs.get(job_id)
+        if entry is None:
+            if renewal.read_until < self._read_from - 1:
+                # A record that was not read may be missing in the renewal.
+                return False
+            self._text_versions[job_id] = renewal.text_version
+            self._apply_job(renewal.accepted)
+            entry = self._jobs[job_id]
+            for record in renewal.iter_results():
+                self._apply_result(entry, record)
+        else:
+            entry.set_parts(renewal.parts)
+            entry.replace_results(
+                [
+                    _make_result(entry, record)
+                    for record in renewal.iter_results()
+                ]
+            )
+        entry.renewal_count += 1
+        return True
+
     def _apply_result(
         self, entry: JobEntry, record: records.ItemResult
     ) -> bool:
-        location = None
-        if record.offset >= 0:
-            location = entry.make_location(
-                record.offset, record.size_bytes, record.record_count
-            )
-        result = ListedResult(
-            record.index,
-            jobs.ResultState(record.state),
-            record.versions,
-            location,
-            record.score,
-        )
+        result = _make_result(entry, record)
         if not entry.list_result(result):
             return False
         if result.state is jobs.ResultState.DONE:
@@ -280,3 +332,18 @@
             return False
         entry.checkpoints[record.index] = saved
         return True
+
+
+def _make_result(entry: JobEntry, record: records.ItemResult) -> ListedResult:
+    location = None
+    if record.offset >= 0:
+        location = entry.make_location(
+            record.offset, record.size_bytes, record.record_count
+        )
+    return ListedResult(
+        record.index,
+        jobs.ResultState(record.state),
+        record.versions,
+        location,
+        record.score,
+    )
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -79,6 +79,11 @@
         self._queue = append_queue.AppendQueue(self, self._settings.call_bytes)
         self._handlers: dict[type, typing.Callable[[typing.Any], None]] = {}
 
+    @property
+    def read_until(self) -> ids.Offset:
+        """Offset of the last record that was applied."""
+        return ids.Offset(self._next - 1)
+
     @property
     def is_caught_up(self) -> bool:
         """Whether the log has been read to its end at least once."""
@@ -418,6 +423,7 @@
         )
         self._next = ids.Offset(offset)
         self.leases.skip_to(self._next)
+        self.table.skip_to(self._next)
 
     def _apply(self, offset: ids.Offset, body: bytes) -> bool:
         try:
@@ -448,7 +454,7 @@
             return True
         if self.leases.apply(record, offset, clock.uptime_s()):
             return True
-        return self.table.apply(record)
+        return self.table.apply(record, offset)
 
     def _drop_old_jobs(self) -> None:
         while True:
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -311,6 +311,19 @@
     job='Job id.',
     reason='Why.',
 )
+define(
+    'job_renewed',
+    'The records of an open job were appended again before they expire.',
+    job='Job id.',
+    results='Number of results.',
+    items='Number of items.',
+)
+define(
+    'job_renewal_failed',
+    'The records of an open job could not be appended again; retried.',
+    job='Job id.',
+    reason='Why.',
+)
 define(
     'item_started',
     'An item was sent to a replica.',
