Authenticate clients of the platform by the keys of the published text

Cause: the ingress served every request whoever sent it, and passed the client's key and account header on to replicas.

Tracebacks in the log no longer hold values of variables, which include keys. The age of the text is not measured yet.

--- /dev/null
+++ b/src/lentildeal/_internal/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Client accounts: who sends a request and what it may see."""
--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -191,6 +191,12 @@
     default_remedy = 'see docs/interface.md for the fields'
 
 
+class UnauthenticatedError(LentildealError):
+    """A request needs the key of an account and has no valid one."""
+
+    default_remedy = 'send a key of an account of the published text'
+
+
 class RequestTooLargeError(BadRequestError):
     """The body of a request exceeds the size limit."""
 
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -51,6 +51,15 @@
 )
 
 
+# Says whether the sender of a request may see a job, None for no such job.
+JobFilter = typing.Callable[[typing.Optional[jobs.JobHead]], bool]
+
+
+def is_known(head: typing.Optional[jobs.JobHead]) -> bool:
+    """Filter for a sender that may see all jobs."""
+    return head is not None
+
+
 @dataclasses.dataclass(frozen=True)
 class JobPage:
     """Results of a job, starting at a position.
@@ -101,6 +110,7 @@
         """Accepts a job and returns once it is in the log.
 
         Raises:
+            exceptions.NotFoundError: The job belongs to another account.
             exceptions.NotRunError: The job was not accepted.
             exceptions.MayHaveRunError: The job may have been accepted.
         """
@@ -128,14 +138,26 @@
             elapsed_ms=_elapsed_ms(started_s),
         )
 
-    def read(self, job_id: ids.JobId, after: int, wait_s: float) -> JobPage:
+    def read(
+        self,
+        job_id: ids.JobId,
+        after: int,
+        wait_s: float,
+        may_see: JobFilter = is_known,
+    ) -> JobPage:
         """Returns results from a position on; waits for one if needed.
 
+        Args:
+            job_id: The job.
+            after: Position of the first result.
+            wait_s: Longest wait for a result, in seconds.
+            may_see: Says whether the sender may see a job.
+
         Raises:
             exceptions.NotFoundError: There is no such job.
             exceptions.NotRunError: The store does not respond.
         """
-        entry = self._find_job(job_id)
+        entry = self._find_job(job_id, may_see)
         with self._log.read_demand.hold():
             self._wait_for_result(entry, after, clock.Deadline(wait_s))
         if entry.head.item_count > len(entry.results) <= after:
@@ -152,7 +174,10 @@
             self._log.changed.wait(deadline.remaining_s)
 
     def read_body(
-        self, job_id: ids.JobId, item_id: ids.ItemId
+        self,
+        job_id: ids.JobId,
+        item_id: ids.ItemId,
+        may_see: JobFilter = is_known,
     ) -> typing.Optional[bytes]:
         """Returns the body of an item, None if there is no such item.
 
@@ -160,7 +185,7 @@
             exceptions.NotFoundError: There is no such job.
             exceptions.NotRunError: The store does not respond.
         """
-        entry = self._find_job(job_id)
+        entry = self._find_job(job_id, may_see)
         index = entry.find_index(item_id)
         if index is None:
             return None
@@ -169,14 +194,14 @@
         except exceptions.PlatformError as error:
             raise _make_unavailable_error(error) from error
 
-    def end(self, job_id: ids.JobId) -> None:
+    def end(self, job_id: ids.JobId, may_see: JobFilter = is_known) -> None:
         """Ends a job and returns once the end is in the log.
 
         Raises:
             exceptions.NotFoundError: There is no such job.
             exceptions.NotRunError: The end could not be stored.
         """
-        entry = self._find_job(job_id)
+        entry = self._find_job(job_id, may_see)
         if entry.is_ended:
             return
         deadline = clock.Deadline(END_TIMEOUT_S)
@@ -191,7 +216,10 @@
         events.emit('job_ended', job=job_id, listed=len(entry.results))
 
     def _submit(self, job: jobs.Job) -> None:
-        if self._is_known(job.head.job_id):
+        known = self._log.table.get(job.head.job_id)
+        if known is not None:
+            if known.head.account not in (None, job.head.account):
+                raise _make_unknown_error(job.head.job_id)
             return
         if not self._log.is_responding:
             raise self._make_refusal('no answer lately')
@@ -300,13 +328,16 @@
     def _is_known(self, job_id: ids.JobId) -> bool:
         return self._log.table.get(job_id) is not None
 
-    def _find_job(self, job_id: ids.JobId) -> table.JobEntry:
+    def _find_job(
+        self, job_id: ids.JobId, may_see: JobFilter
+    ) -> table.JobEntry:
         if not self._log.is_caught_up or not self._is_known(job_id):
             # A job is known not to exist only at the end of the log.
             self._sync()
-        if not self._is_known(job_id):
-            raise exceptions.NotFoundError(f'there is no job {job_id}')
-        return self._log.table.get(job_id)
+        entry = self._log.table.get(job_id)
+        if not may_see(None if entry is None else entry.head):
+            raise _make_unknown_error(job_id)
+        return entry
 
     def _sync(self) -> None:
         try:
@@ -360,5 +391,9 @@
     )
 
 
+def _make_unknown_error(job_id: ids.JobId) -> exceptions.NotFoundError:
+    return exceptions.NotFoundError(f'there is no job {job_id}')
+
+
 def _elapsed_ms(since_s: float) -> int:
     return int((clock.monotonic_s() - since_s) * 1000)
--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -62,7 +62,12 @@
     logger.configure(extra={'instance': loaded.instance})
     events.set_common(instance=loaded.instance)
     if loaded.store is None:
-        logger.add(sys.stderr, level=loaded.logging.level, serialize=True)
+        logger.add(
+            sys.stderr,
+            level=loaded.logging.level,
+            serialize=True,
+            diagnose=False,
+        )
         return
     # Messages are JSON objects already. A slow reader loses lines instead of
     # blocking the daemon.
@@ -72,6 +77,8 @@
         format='{message}',
         colorize=False,
         catch=False,
+        # Values of variables in tracebacks include the keys of clients.
+        diagnose=False,
     )
 
 
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -26,6 +26,7 @@
 # Modules of the plug-ins of a deployment on a platform with a store.
 STORE_MODULES = (
     'lentildeal._internal.directory.plugin',
+    'lentildeal._internal.accounts.plugin',
     'lentildeal._internal.jobs.work_log',
     'lentildeal._internal.routing.replica_limits',
     'lentildeal._internal.jobs.lease_manager',
--- a/src/lentildeal/_internal/network/problems.py
+++ b/src/lentildeal/_internal/network/problems.py
@@ -53,6 +53,11 @@
     http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     outcomes.Outcome.NOT_RUN,
 )
+register_problem(
+    exceptions.UnauthenticatedError,
+    http.HTTPStatus.UNAUTHORIZED,
+    outcomes.Outcome.NOT_RUN,
+)
 register_problem(
     exceptions.NotFoundError,
     http.HTTPStatus.NOT_FOUND,
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import typing
 import urllib.parse
 
@@ -19,6 +20,7 @@
 from lentildeal._internal.models import jobs
 from lentildeal._internal.network import http_server
 from lentildeal._internal.network import problems
+from lentildeal._internal.platform import credentials
 from lentildeal._internal.platform import documents
 from lentildeal._internal.platform import names
 from lentildeal._internal.utils import clock
@@ -36,7 +38,9 @@
 }
 
 
-@plugins.register('ingress', after=('gateway', 'jobs', 'readiness'))
+@plugins.register(
+    'ingress', after=('accounts', 'gateway', 'jobs', 'readiness')
+)
 class Ingress(plugins.Plugin):
     """Routes for the clients of the platform."""
 
@@ -44,6 +48,7 @@
         super().__init__(kernel)
         self._gateway = kernel.plugin('gateway')
         self._jobs = kernel.plugin('jobs')
+        self._accounts = kernel.plugin('accounts')
 
     def start(self) -> None:
         """See the base class."""
@@ -55,29 +60,44 @@
             ('DELETE', names.JOB_PATH, self._end_job),
             ('*', '/{path*}', self._handle_request),
         ):
-            self._kernel.router.add(method, path, _add_retry_after(handler))
+            self._kernel.router.add(
+                method, path, _add_refusal_headers(handler)
+            )
 
     def _handle_request(
         self, request: http_server.Request
     ) -> http_server.Response:
         host = _read_host(request)
         path = request.target.partition('?')[0]
-        route = self._gateway.find_route(host, path)
+        keys = credentials.read_keys(request)
+        try:
+            route = self._gateway.find_route(host, path)
+        except exceptions.UnknownRouteError:
+            self._accounts.authenticate(keys, None)
+            raise
+        sender = self._accounts.authenticate(keys, route)
         if route.kind is deployment.RouteKind.ROLLOUT:
             if request.method != 'POST':
                 raise exceptions.UnknownRouteError(
                     f'{request.method} is not allowed on a rollout route'
                 )
-            self._jobs.submit(decode_job(request, host, path))
+            account = None if route.is_public else sender.account_name
+            self._jobs.submit(decode_job(request, host, path, account))
             return http_server.Response(202)
         response = self._gateway.forward(
-            route, decode_call(request, host, path)
+            route,
+            dataclasses.replace(
+                decode_call(request, host, path),
+                account=sender.account_name,
+                priority=sender.get_priority(route),
+            ),
         )
         return http_server.Response(
             response.status, dict(response.headers), response.body
         )
 
     def _read_job(self, request: http_server.Request) -> http_server.Response:
+        may_see = self._make_job_filter(request)
         after = _read_number(request.query.get('After', '0'), 'After')
         wait_ms = _read_number(
             request.headers.get(names.WAIT.lower(), '0'), names.WAIT
@@ -86,6 +106,7 @@
             ids.JobId(request.parameters['job']),
             after,
             min(wait_ms, MAX_WAIT_MS) / 1000,
+            may_see,
         )
         return http_server.json_response(encode_page(page))
 
@@ -93,6 +114,7 @@
         body = self._jobs.read_body(
             ids.JobId(request.parameters['job']),
             ids.ItemId(request.query.get('Id', '')),
+            self._make_job_filter(request),
         )
         if body is None:
             raise exceptions.NotFoundError('the job has no such item')
@@ -101,9 +123,17 @@
         )
 
     def _end_job(self, request: http_server.Request) -> http_server.Response:
-        self._jobs.end(ids.JobId(request.parameters['job']))
+        self._jobs.end(
+            ids.JobId(request.parameters['job']),
+            self._make_job_filter(request),
+        )
         return http_server.json_response({})
 
+    def _make_job_filter(
+        self, request: http_server.Request
+    ) -> jobs_plugin.JobFilter:
+        return self._accounts.make_job_filter(credentials.read_keys(request))
+
 
 def decode_call(
     request: http_server.Request, host: str, path: str
@@ -129,6 +159,7 @@
             (name, value)
             for name, value in request.raw_headers
             if name.lower() not in replaced
+            and not credentials.is_private(name)
         ),
         body=request.body,
         deadline=clock.Deadline(deadline_ms / 1000),
@@ -136,9 +167,20 @@
     )
 
 
-def decode_job(request: http_server.Request, host: str, path: str) -> jobs.Job:
+def decode_job(
+    request: http_server.Request,
+    host: str,
+    path: str,
+    account: typing.Optional[ids.AccountName] = None,
+) -> jobs.Job:
     """Decodes the submission of a job.
 
+    Args:
+        request: The request.
+        host: Host without a port.
+        path: Path without the query.
+        account: Client account that submits it, None without one.
+
     Raises:
         exceptions.BadRequestError: A field is missing or invalid. The message
             names the field.
@@ -165,6 +207,7 @@
                 required_groups=decimals.require_int(document['BatchGroups']),
                 submitted_ms=int(clock.unix_s() * 1000),
                 item_count=len(items),
+                account=account,
             ),
             items,
         )
@@ -203,6 +246,7 @@
         headers = {
             http_fields.require_name(k): http_fields.require_value(str(v))
             for k, v in entry['Headers'].items()
+            if not credentials.is_private(k)
         }
         # The usage header holds the prompt tokens and the maximum of output
         # tokens. The length hint is the better estimate.
@@ -268,8 +312,8 @@
     return number
 
 
-def _add_retry_after(handler: http_server.Handler) -> http_server.Handler:
-    """Wraps a handler to set Retry-After on responses for NotRunError."""
+def _add_refusal_headers(handler: http_server.Handler) -> http_server.Handler:
+    """Wraps a handler to set the headers of refusals."""
 
     def handle(request: http_server.Request) -> http_server.Response:
         try:
@@ -280,5 +324,10 @@
             # value is not rounded up.
             response.headers[names.RETRY_AFTER] = str(error.retry_after_s)
             return response
+        except exceptions.UnauthenticatedError as error:
+            response = problems.to_response(error)
+            # A response with status 401 must name a scheme (RFC 9110).
+            response.headers['WWW-Authenticate'] = names.ACCOUNT_KEY
+            return response
 
     return handle
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -10,6 +10,7 @@
 from standins import common
 
 REQUEST_ID_HEADER = 'Lentildeal-Request-Id'
+ACCOUNT_HEADER = 'Lentildeal-Tenant'
 VERSIONS_HEADER = 'Lentildeal-Weight-Versions'
 LOAD_DURATION_S = 0.2
 
@@ -101,6 +102,9 @@
                 'after': last_event_id,
                 'path': request.path,
                 'at_s': common.now_s(),
+                'account': request.headers.get(ACCOUNT_HEADER.lower()),
+                # Text of all headers, to search for what must not be there.
+                'headers': repr(request.headers),
             }
         )
         if self.faults.should_inject('foreign'):
--- a/tests/lib/job_builders.py
+++ b/tests/lib/job_builders.py
@@ -120,9 +120,20 @@
     return make_route(**values)
 
 
-def make_published_text(*routes, version=1) -> deployment.PublishedText:
+def make_accounts(**keys) -> dict[str, deployment.Account]:
+    """Accounts by name, each with its list of keys."""
+    return {
+        name: deployment.Account(name, frozenset(own))
+        for name, own in keys.items()
+    }
+
+
+def make_published_text(
+    *routes, version=1, accounts=None
+) -> deployment.PublishedText:
     """Published text with one engine service of one model."""
     return deployment.PublishedText(
+        accounts=accounts,
         version=version,
         routes=routes or (make_route(),),
         services={SERVICE: deployment.Service(SERVICE, (MODEL,), 4, 100, 1)},
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -59,7 +59,9 @@
 class World:
     """A deployment of daemons, engines and one replica without a model."""
 
-    def __init__(self, launcher, daemons=3, engines=2, **engine_options):
+    def __init__(
+        self, launcher, daemons=3, engines=2, accounts=None, **engine_options
+    ):
         self._launcher = launcher
         self.store = launcher.start_stand_in('platform.store')
         self.engines = []
@@ -70,7 +72,7 @@
             'platform.replica', '--replica-id', 'p0'
         )
         self.write_replica('p0', 'desk', self.plain.address, {})
-        self.write_text()
+        self.write_text(accounts=accounts)
         self.daemons = [self.start_daemon(f'n{n}') for n in range(daemons)]
         for daemon in self.daemons:
             processes.wait_for(daemon.is_ready, f'{daemon.name} is ready')
@@ -125,8 +127,19 @@
         entry = make_entry(service, address, models, state)
         self.write('keyed.servers', replica_id, entry)
 
-    def write_text(self, version=1, extra_routes=()) -> None:
-        """Writes the published text."""
+    def write_text(
+        self, version=1, extra_routes=(), accounts=None, **fields
+    ) -> None:
+        """Writes the published text.
+
+        Args:
+            version: Its version.
+            extra_routes: Routes besides the usual ones.
+            accounts: Keys of each account by name, None for no accounts.
+            **fields: Further fields of the text.
+        """
+        if accounts is not None:
+            fields['Tenants'] = make_accounts(accounts)
         routes = [
             make_route('rollouts', '/rollouts/', 'rollout', 'engines'),
             make_route('desk', '/desk/', 'safe', 'desk'),
@@ -141,7 +154,12 @@
         self.write(
             'keyed.op',
             'config',
-            {'Version': version, 'Routes': routes, 'Services': services},
+            {
+                'Version': version,
+                'Routes': routes,
+                'Services': services,
+                **fields,
+            },
         )
 
     def announce_version(self, version: int) -> None:
@@ -152,7 +170,7 @@
             {'Model': MODEL, 'Version': version},
         )
 
-    def read_all(self, daemon, job_id: str) -> list[dict]:
+    def read_all(self, daemon, job_id: str, **headers: str) -> list[dict]:
         """Waits for all results of a job and returns them in order."""
         found: list[dict] = []
 
@@ -162,6 +180,7 @@
                 f'/lots/{job_id}?After={len(found)}',
                 Host=HOST,
                 Lentildeal_Wait_Ms='500',
+                **headers,
             )
             if status == 200:
                 found.extend(page['Results'])
@@ -204,6 +223,14 @@
     }
 
 
+def make_accounts(keys: dict[str, list[str]]) -> list[dict]:
+    """Makes the accounts of the published text."""
+    return [
+        {'Name': name, 'ApiKeys': own, 'Priority': 1}
+        for name, own in keys.items()
+    ]
+
+
 def make_job(item_ids, min_version=1, **overrides) -> dict:
     """Makes the submission of a job."""
     entries = [
@@ -243,7 +270,7 @@
     return job
 
 
-def submit(daemon, job_id: str, job: dict) -> int:
+def submit(daemon, job_id: str, job: dict, **headers: str) -> int:
     """Submits a job; returns the status."""
     return daemon.call(
         'POST',
@@ -251,6 +278,7 @@
         job,
         Host=HOST,
         Lentildeal_Request_Id=job_id,
+        **headers,
     )[0]
 
 
--- /dev/null
+++ b/tests/unit/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of client accounts."""
