Reject a text with invalid accounts and name the place

Cause: accounts were decoded loosely. A string instead of a list of keys made each of its characters a key, a duplicate name or key was taken by the last account, any value that is not false made a route public, and the error quoted a value that may be a key.

Change: platform/account_documents.py checks accounts, and the fields of routes that concern them where the text has accounts. Errors name the place, such as Tenants[1].ApiKeys[0], and no value but names.

Result: tests/unit/platform/test_account_documents.py passes; it fails when a key in two accounts is taken, when the list of keys may be of any type, and when the error quotes the key.

--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -8,6 +8,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
+from lentildeal._internal.platform import account_documents
 from lentildeal._internal.utils import decimals
 from lentildeal._internal.utils import http_fields
 
@@ -41,6 +42,10 @@
     """
     try:
         limits = document.get('Limits') or {}
+        accounts = account_documents.decode_accounts(document.get('Tenants'))
+        if accounts is not None:
+            for number, route in enumerate(document['Routes']):
+                account_documents.check_route(route, number)
         return deployment.PublishedText(
             version=decimals.require_int(document['Version']),
             routes=tuple(_decode_route(r) for r in document['Routes']),
@@ -52,7 +57,7 @@
                 _read_amount(limits, 'MaxHeaderBytes', 16 * 1024),
                 _read_amount(limits, 'MaxBodyBytes', 32 * 1024 * 1024),
             ),
-            accounts=_decode_accounts(document.get('Tenants')),
+            accounts=accounts,
         )
     except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
@@ -157,26 +162,6 @@
     )
 
 
-def _decode_accounts(
-    entries: typing.Optional[list],
-) -> typing.Optional[dict[ids.AccountName, deployment.Account]]:
-    """Decodes the accounts, None if the text has none."""
-    if entries is None:
-        return None
-    accounts = {}
-    for entry in entries:
-        name = ids.AccountName(
-            http_fields.require_value(_require_string(entry['Name']))
-        )
-        priority = entry.get('Priority')
-        accounts[name] = deployment.Account(
-            name,
-            frozenset(_require_string(key) for key in entry['ApiKeys']),
-            None if priority is None else decimals.require_int(priority),
-        )
-    return accounts
-
-
 def _decode_scaling(
     scaling: typing.Optional[dict],
 ) -> typing.Optional[deployment.Scaling]:
