Add settings and calls for duties at the platform

Cause: the platform expects usage reports and replica orders from one daemon at a time; no setting named its address and no adapter spoke the calls.

Result: tests/unit/platform, test_settings and test_reference pass.

--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -20,6 +20,10 @@
 # Replicas answer reports and orders from memory, within milliseconds. The
 # timeout leaves room for the retransmission of a lost packet after 0.2 s.
 CONTROL_TIMEOUT_S = 0.5
+# The slow platform takes 60 times as long as its usual 4 ms. The limit is at
+# most the time that a new lease holder waits for calls of the previous one
+# (ORDER_FLIGHT_S of the lease manager).
+DUTY_TIMEOUT_S = 0.9
 MISDIRECTED_STATUS = 421
 # Figure in a load report of a replica at which work takes as long as usual.
 USUAL_WORK = 100
@@ -30,6 +34,11 @@
     409: platform_base.OrderOutcome.CONFLICT,
     412: platform_base.OrderOutcome.FENCED,
 }
+_DUTY_OUTCOMES = {
+    200: platform_base.DutyOutcome.DONE,
+    409: platform_base.DutyOutcome.REFUSED,
+    429: platform_base.DutyOutcome.THROTTLED,
+}
 
 
 @platform_base.platforms.register('platform')
@@ -41,10 +50,12 @@
     def __init__(self, settings: settings_module.Settings) -> None:
         self.store = store.PlatformStore(settings.store)
         self._client = http_client.HttpClient()
+        self._duties = settings.duties
 
     def reload(self, settings: settings_module.Settings) -> None:
         """See the base class."""
         self.store.reload(settings.store)
+        self._duties = settings.duties
 
     def decode_change(
         self, stream: str, record: platform_base.KeyedRecord
@@ -151,6 +162,63 @@
             response.status, platform_base.OrderOutcome.REFUSED
         )
 
+    def report_usage(
+        self,
+        report: platform_base.UsageReport,
+        duty: platform_base.DutyTerm,
+    ) -> platform_base.DutyOutcome:
+        """See the base class."""
+        body = {'WindowId': report.window, 'Counts': dict(report.counts)}
+        return self._call_duty(names.USAGE_PATH, body, duty)
+
+    def order_replicas(
+        self,
+        order: platform_base.ReplicaOrder,
+        duty: platform_base.DutyTerm,
+    ) -> platform_base.DutyOutcome:
+        """See the base class."""
+        body: dict[str, typing.Any] = {
+            'Service': order.service,
+            'Zone': order.failure_domain,
+            # Despite its name, this is the number of replicas.
+            'BatchGroups': order.count,
+        }
+        if order.is_spot:
+            body['Spot'] = True
+        return self._call_duty(names.SCALE_PATH, body, duty)
+
+    def _call_duty(
+        self,
+        path: str,
+        body: dict[str, typing.Any],
+        duty: platform_base.DutyTerm,
+    ) -> platform_base.DutyOutcome:
+        if self._duties is None:
+            raise exceptions.PlatformError('the settings name no duties')
+        headers = {
+            'Content-Type': 'application/json',
+            names.DUTY_HOLDER: duty.holder,
+            names.FENCING_TOKEN: str(duty.fence),
+        }
+        try:
+            response = self._client.request(
+                'POST',
+                f'http://{self._duties.address}{path}',
+                timeout_s=DUTY_TIMEOUT_S,
+                body=json.dumps(body).encode(),
+                headers=headers,
+                # Reports never change and orders are absolute, so that a
+                # repeated call has no further effect.
+                is_repeatable=True,
+            )
+        except (exceptions.NotRunError, exceptions.MayHaveRunError) as error:
+            raise exceptions.PlatformError(error.message) from error
+        if response.status not in _DUTY_OUTCOMES:
+            raise exceptions.PlatformError(
+                f'the platform answered {path} with status {response.status}'
+            )
+        return _DUTY_OUTCOMES[response.status]
+
     def _call(
         self,
         replica: deployment.Replica,
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import enum
 import ipaddress
 import pathlib
 import typing
@@ -163,6 +164,42 @@
     )
 
 
+class DutyKind(str, enum.Enum):
+    """Kinds of calls to the platform that one daemon at a time may make."""
+
+    USAGE_REPORT = 'usage_report'
+    AUTOSCALE = 'autoscale'
+
+
+@dataclasses.dataclass(frozen=True)
+class Duties:
+    """Calls to the platform that only one daemon at a time may make."""
+
+    address: str = options.option('Address "ip:port" for these calls.')
+    kinds: list[str] = options.option(
+        'Kinds of calls that the platform expects: "usage_report" and'
+        ' "autoscale"; others are ignored.',
+        factory=lambda: [kind.value for kind in DutyKind],
+    )
+    calls_per_s: float = options.option(
+        'Calls a second that the platform accepts from all daemons together.',
+        50.0,
+        minimum=0.1,
+    )
+    window_s: float = options.option(
+        'Length of a window of usage reports, in seconds.', 5.0, minimum=0.1
+    )
+    due_s: float = options.option(
+        'Time from the end of a window until its report is due, in seconds.',
+        10.0,
+        minimum=0.1,
+    )
+
+    def has(self, kind: DutyKind) -> bool:
+        """Whether the platform expects calls of a kind."""
+        return kind.value in self.kinds
+
+
 @dataclasses.dataclass(frozen=True)
 class Resources:
     """Resources of the instance."""
@@ -203,6 +240,9 @@
     store: typing.Optional[Store] = options.option(
         'Store of a platform deployment, instead of "platform".', None
     )
+    duties: typing.Optional[Duties] = options.option(
+        'Calls that the platform expects from one daemon at a time.', None
+    )
     ready_address: typing.Optional[str] = options.option(
         'Address "ip:port" of readiness checks; default "http_address".',
         None,
--- a/tests/unit/platform/test_adapter.py
+++ b/tests/unit/platform/test_adapter.py
@@ -28,7 +28,9 @@
 @pytest.fixture
 def platform():
     return adapter.ExternalPlatform(
-        types.SimpleNamespace(store=types.SimpleNamespace(address='x'))
+        types.SimpleNamespace(
+            store=types.SimpleNamespace(address='x'), duties=None
+        )
     )
 
 
--- a/tests/unit/platform/test_load_reports.py
+++ b/tests/unit/platform/test_load_reports.py
@@ -11,7 +11,9 @@
 
 def read_load(value):
     platform = adapter.ExternalPlatform(
-        types.SimpleNamespace(store=types.SimpleNamespace(address='x'))
+        types.SimpleNamespace(
+            store=types.SimpleNamespace(address='x'), duties=None
+        )
     )
     headers = {names.REPLICA_LOAD.lower(): value}
     return platform.read_response(200, headers).load
