--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -71,7 +71,7 @@
         return self.response is not None and self.response.status < 500
 
 
-@plugins.register('gateway', after=('directory', 'replica_limits'))
+@plugins.register('gateway', after=('directory', 'replica_limits', 'usage'))
 class Gateway(plugins.Plugin):
     """Chooses replicas for live calls and forwards their responses."""
 
@@ -80,6 +80,7 @@
         self._directory = kernel.plugin('directory')
         self._connections = target_connections.TargetConnections()
         self._limits = kernel.plugin('replica_limits')
+        self._usage = kernel.plugin('usage')
         self._health = health.HealthTracker()
         self._running: dict[ids.ReplicaId, int] = {}
         self._loads: dict[
@@ -124,7 +125,8 @@
         forwarder = _CallForwarder(self, route, call)
         try:
             self._kernel.check_time_left(forwarder.limit_s)
-            response = forwarder.run()
+            with self._usage.track(call.account):
+                response = forwarder.run()
         except exceptions.LentildealError as error:
             is_refusal = isinstance(error, exceptions.NotRunError)
             _calls_total.labels('refused' if is_refusal else 'failed').inc()
--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -14,6 +14,7 @@
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import ids
+from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import hashing
 from lentildeal._internal.utils import wakeup
@@ -53,6 +54,10 @@
 # own.
 PIGGYBACK_RENEWAL_INTERVAL_S = 0.25
 
+# Lease for reporting usage, and the group of all calls to the platform.
+USAGE_LEASE = ids.LeaseName('usage')
+PLATFORM_DUTIES = 'duties at the platform'
+
 _held = prometheus_client.Gauge(
     'lentildeal_duties_held', 'Leases that this daemon holds.'
 )
@@ -68,6 +73,11 @@
     return ids.LeaseName(f'jobs/{model}')
 
 
+def scaling_lease_name(service: ids.ServiceName) -> ids.LeaseName:
+    """Name of the lease for ordering replicas of a service."""
+    return ids.LeaseName(f'scaling/{service}')
+
+
 @dataclasses.dataclass
 class _HeldLease:
     group: str
@@ -221,6 +231,15 @@
             yield lease_name, lease_name
             for model in service.models:
                 yield jobs_lease_name(model), f'jobs of {service.name}'
+        duties = self._kernel.settings.duties
+        if duties is None:
+            return
+        if duties.has(settings_module.DutyKind.USAGE_REPORT):
+            yield USAGE_LEASE, PLATFORM_DUTIES
+        if duties.has(settings_module.DutyKind.AUTOSCALE):
+            for service in self._directory.text.services.values():
+                if service.scaling is not None:
+                    yield scaling_lease_name(service.name), PLATFORM_DUTIES
 
     def _drop_lost(self) -> None:
         for lease_name, lease in list(self._leases.items()):
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -311,6 +311,44 @@
         return '\n'.join(self.events)
 
 
+# Records of calls to the platform that one daemon at a time makes.
+@register_record(18)
+@dataclasses.dataclass(frozen=True)
+class UsageCounts:
+    """Requests that replicas began, counted by one daemon; they add up.
+
+    Attributes:
+        incarnation: Process of the daemon.
+        sequence: Number of the record at this process, from 1 on.
+        complete_until: Window before which all counts of this daemon are in
+            this record and earlier ones.
+        counts: Window, account and number of requests.
+    """
+
+    incarnation: ids.Incarnation
+    sequence: int
+    complete_until: int
+    counts: tuple[tuple[int, ids.AccountName, int], ...]
+
+
+@register_record(19)
+@dataclasses.dataclass(frozen=True)
+class DutyCallPlanned:
+    """A call as it will be sent by the holder of a duty.
+
+    Attributes:
+        duty: Lease under which it is sent.
+        subject: What the call is about, such as a window.
+        values: Names and numbers that are sent.
+        confirmed: Subjects of earlier calls that were answered.
+    """
+
+    duty: ids.LeaseName
+    subject: str
+    values: tuple[tuple[str, int], ...]
+    confirmed: tuple[str, ...] = ()
+
+
 Record = typing.Union[
     JobAccepted,
     ItemResult,
@@ -325,6 +363,8 @@
     RequestTurn,
     JobText,
     ClaimBasis,
+    UsageCounts,
+    DutyCallPlanned,
 ]
 Payload = typing.Union[JobPart, EventTexts]
 
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -31,6 +31,8 @@
     'lentildeal._internal.jobs.lease_manager',
     'lentildeal._internal.jobs.plugin',
     'lentildeal._internal.orders.rotation_plugin',
+    'lentildeal._internal.duties.plugin',
+    'lentildeal._internal.usage.plugin',
     'lentildeal._internal.gateway.plugin',
     'lentildeal._internal.platform.ingress',
     'lentildeal._internal.reports.readiness',
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -244,6 +244,32 @@
     term='Term that ended.',
     reason='Why.',
 )
+define(
+    'duty_call',
+    'This daemon made a call to the platform that only one daemon may make.',
+    duty='Name of the lease.',
+    subject='What the call is about, such as a window.',
+    term='Term of the lease, which is the fencing token.',
+    outcome='"done", "refused" (409), "throttled" (429) or "unknown".',
+    reason='Why the outcome is unknown, null otherwise.',
+    elapsed_ms='Duration of the call, in milliseconds.',
+)
+define(
+    'usage_window_closed',
+    'The report of a window was written to the log; it never changes.',
+    window='Window.',
+    requests='Requests in the report.',
+    accounts='Accounts in the report.',
+    is_complete='Whether no daemon is known whose counts may lack.',
+    age_ms='Time since the end of the window, in milliseconds.',
+)
+define(
+    'usage_counts_late',
+    'Counts arrived after the report of their window was written; they are'
+    ' missing in it.',
+    incarnation='Process of the daemon that counted.',
+    requests='Requests that are missing.',
+)
 define(
     'call_answered',
     'A live call got a response from a replica.',
--- /dev/null
+++ b/src/lentildeal/_internal/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Numbers of replicas that are ordered."""
--- /dev/null
+++ b/src/lentildeal/_internal/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Reports of the requests that replicas began."""
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import types
 
 import eventlet
@@ -32,6 +33,7 @@
         self.state = kernel_module.KernelState.SERVING
         self.settings = types.SimpleNamespace(
             instance='a',
+            duties=None,
             store=types.SimpleNamespace(
                 call_bytes=2_000_000,
                 record_bytes=RECORD_BYTES,
@@ -51,6 +53,9 @@
             'gateway': types.SimpleNamespace(
                 choose=lambda service, tried: None
             ),
+            'usage': types.SimpleNamespace(
+                track=lambda account: contextlib.nullcontext()
+            ),
             # This daemon holds all leases.
             'duties': types.SimpleNamespace(
                 find_term=lambda lease_name: 1,
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -71,6 +71,7 @@
         incarnation=hash(name),
         settings=types.SimpleNamespace(
             instance=name,
+            duties=None,
             resources=types.SimpleNamespace(cores=cores),
             store=types.SimpleNamespace(
                 lease_ms=3000, requires_fence=requires_fence
--- /dev/null
+++ b/tests/unit/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of counts of requests and their reports."""
