Test usage reports with three daemons and a killed or frozen holder

Cause: rules for holders (growing tokens, no holder again within the lease time, reports that never change) show only between processes.

--- /dev/null
+++ b/tests/functional/test_duties.py
@@ -0,0 +1,126 @@
+"""Three daemons of which one reports usage, and faults of the holder."""
+
+import contextlib
+import signal
+import time
+
+import pytest
+
+from tests.lib import platform_world
+from tests.lib import processes
+
+# Short windows; the lease time is that of the platform.
+WINDOW_S = 1.0
+DUE_S = 10.0
+
+
+class DutyWorld(platform_world.World):
+    """A deployment with accounts and a platform that expects reports."""
+
+    def __init__(self, launcher, daemons=3):
+        self.platform = launcher.start_stand_in('platform.duties')
+        sections = {
+            'duties': {
+                'address': self.platform.address,
+                'window_s': WINDOW_S,
+                'due_s': DUE_S,
+            }
+        }
+        super().__init__(launcher, daemons, 0, sections)
+
+    def list_reports(self):
+        """Calls with reports, in order."""
+        return [
+            call
+            for call in self.platform.read_journal()['calls']
+            if call['path'] == '/usage'
+        ]
+
+    def find_holder(self):
+        """The daemon that sent the last report."""
+        reports = self.list_reports()
+        if not reports:
+            return None
+        name = reports[-1]['holder']
+        return next(d for d in self.daemons if d.name == name)
+
+
+@pytest.fixture
+def world():
+    with processes.Launcher() as launcher:
+        yield DutyWorld(launcher)
+
+
+def check_rules(reports):
+    """Checks the rules for holders and reports of the whole journal."""
+    counts = {}
+    for call in reports:
+        window = call['body']['WindowId']
+        known = counts.setdefault(window, call['body']['Counts'])
+        assert known == call['body']['Counts'], f'{window} has changed'
+    tokens = [call['token'] for call in reports]
+    assert tokens == sorted(tokens)
+    last_seen_s = {}
+    previous = None
+    for call in reports:
+        if previous not in (None, call['holder']):
+            last_s = last_seen_s.get(call['holder'])
+            assert last_s is None or call['at_s'] - last_s >= 3.0
+        last_seen_s[call['holder']] = call['at_s']
+        previous = call['holder']
+    windows = sorted(counts)
+    assert windows == list(range(windows[0], windows[0] + len(windows)))
+
+
+def wait_for_reports_of_another(world, holder):
+    processes.wait_for(
+        lambda: world.list_reports()[-1]['holder'] != holder.name,
+        'reports of another holder',
+    )
+    # The holder before it may call again if it does not notice.
+    time.sleep(3.0)
+
+
+def test_one_daemon_reports_every_window(world):
+    """Guards against missing windows and against two daemons that report."""
+    processes.wait_for(lambda: len(world.list_reports()) > 4, 'reports')
+    reports = world.list_reports()
+    assert len({call['holder'] for call in reports}) == 1
+    check_rules(reports)
+    windows = [call['body']['WindowId'] for call in reports]
+    assert len(windows) == len(set(windows))
+
+
+@pytest.mark.parametrize('fault', ['delay_ms', 'lose_answers'])
+def test_holder_killed_around_its_call(world, fault):
+    """Guards against a report that is missing or made anew after a kill.
+
+    With a delayed platform the holder is killed between the record in the log
+    and the effect of the call, with lost answers between call and answer.
+    """
+    holder = processes.wait_for(world.find_holder, 'a holder')
+    world.platform.set_faults(**{fault: 700 if fault == 'delay_ms' else 1000})
+    count = len(holder.read_events('usage_window_closed'))
+    processes.wait_for(
+        lambda: len(holder.read_events('usage_window_closed')) > count,
+        'a closed window',
+    )
+    if fault == 'lose_answers':
+        calls = len(world.list_reports())
+        processes.wait_for(lambda: len(world.list_reports()) > calls, 'a call')
+    holder.kill()
+    world.platform.set_faults(delay_ms=0, lose_answers=0)
+    wait_for_reports_of_another(world, holder)
+    check_rules(world.list_reports())
+
+
+def test_holder_frozen_over_a_hand_over(world):
+    """Guards against a holder that goes on with its duty after a freeze."""
+    holder = processes.wait_for(world.find_holder, 'a holder')
+    with contextlib.ExitStack() as stack:
+        holder.signal(signal.SIGSTOP)
+        stack.callback(holder.signal, signal.SIGCONT)
+        wait_for_reports_of_another(world, holder)
+    time.sleep(3.0)
+    check_rules(world.list_reports())
+    assert world.list_reports()[-1]['holder'] != holder.name
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -18,7 +18,9 @@
 class StoreDaemon(processes.Process):
     """One daemon connected to the stand-in of the store."""
 
-    def __init__(self, instance, store_address, directory, port=None) -> None:
+    def __init__(
+        self, instance, store_address, directory, port=None, **sections
+    ) -> None:
         port = port or processes.find_free_port()
         self.arguments = instance, store_address, directory, port
         settings = {
@@ -28,6 +30,7 @@
             'ready_address': f'127.0.0.1:{processes.find_free_port()}',
             'store': {'address': store_address},
             'timing': {'leave_ms': 500, 'drain_ms': 3000},
+            **sections,
         }
         self.ready_url = f'http://{settings["ready_address"]}'
         path = directory / f'{instance}.jsonc'
@@ -59,8 +62,11 @@
 class World:
     """A deployment of daemons, engines and one replica without a model."""
 
-    def __init__(self, launcher, daemons=3, engines=2, **engine_options):
+    def __init__(
+        self, launcher, daemons=3, engines=2, sections=None, **engine_options
+    ):
         self._launcher = launcher
+        self._sections = sections or {}
         self.store = launcher.start_stand_in('platform.store')
         self.engines = []
         for number in range(engines):
@@ -97,6 +103,7 @@
                 self.store.address,
                 self._launcher.directory,
                 port,
+                **self._sections,
             )
         )
 
