Choose replicas for live calls by expected finish time

Cause: reports with a work factor were read, and the factor was not used, so calls went to slowed replicas with free slots. Change: routing/finish_times.py estimates running, waiting, slots, work factor, age and own calls since the report. Without a work factor the choice is unchanged.

--- a/src/lentildeal/_internal/gateway/choice.py
+++ b/src/lentildeal/_internal/gateway/choice.py
@@ -44,6 +44,14 @@
     is_local: bool
     is_limited: bool = False
 
+    @property
+    def extra_load(self) -> float:
+        """Load added for failures, distance and request limits."""
+        extra_load = 0.0 if self.is_local else REMOTE_DOMAIN_LOAD
+        if self.is_limited:
+            extra_load += LIMITED_LOAD
+        return self.penalty + extra_load
+
 
 def choose(
     candidates: typing.Sequence[Candidate],
@@ -59,15 +67,9 @@
         return None
 
     def cost(candidate: Candidate) -> tuple[float, float]:
-        extra_load = 0.0 if candidate.is_local else REMOTE_DOMAIN_LOAD
-        if candidate.is_limited:
-            extra_load += LIMITED_LOAD
         # Ties are broken at random, so that daemons don't all choose the
         # same replica.
-        return (
-            candidate.load + candidate.penalty + extra_load,
-            random.random(),
-        )
+        return candidate.load + candidate.extra_load, random.random()
 
     return min(untried, key=cost).replica_id
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -20,6 +20,7 @@
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import target_connections
+from lentildeal._internal.routing import finish_times
 from lentildeal._internal.routing import health
 from lentildeal._internal.utils import clock
 
@@ -85,6 +86,7 @@
         self._loads: dict[
             ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
         ] = {}
+        self._reports = finish_times.LoadReports()
 
     def start(self) -> None:
         """See the base class."""
@@ -165,17 +167,47 @@
             if self._limits.wait_s(replica.replica_id) <= MAX_TURN_WAIT_S
         ]
         usable = set(self._health.select_usable([r.address for r in ready]))
-        candidates = [
-            self._make_candidate(replica)
-            for replica in ready
-            if replica.address in usable
-        ]
-        chosen = choice.choose(candidates, tried)
+        chosen = self._choose_among(
+            [replica for replica in ready if replica.address in usable], tried
+        )
         if chosen is None:
-            candidates = [self._make_candidate(replica) for replica in ready]
-            chosen = choice.choose(candidates, tried)
+            chosen = self._choose_among(ready, tried)
         return None if chosen is None else self._directory.replicas.get(chosen)
 
+    def _choose_among(
+        self,
+        replicas: typing.Sequence[deployment.Replica],
+        tried: typing.Container[ids.ReplicaId],
+    ) -> typing.Optional[ids.ReplicaId]:
+        """Chooses by finish time if replicas report their speed."""
+        if self._reports.has_work_factor(r.replica_id for r in replicas):
+            expected = finish_times.choose(self._estimate(replicas), tried)
+            return None if expected is None else expected.estimate.replica_id
+        return choice.choose(
+            [self._make_candidate(replica) for replica in replicas], tried
+        )
+
+    def _estimate(
+        self, replicas: typing.Iterable[deployment.Replica]
+    ) -> list[finish_times.Estimate]:
+        return [
+            self._reports.estimate(
+                replica.replica_id,
+                replica.slots,
+                self._running.get(replica.replica_id, 0),
+                self._make_candidate(replica).extra_load,
+            )
+            for replica in replicas
+        ]
+
+    def record_load(
+        self, replica_id: ids.ReplicaId, load: platform_base.ReplicaLoad
+    ) -> None:
+        """Records the load that a replica reported just now."""
+        self._loads[replica_id] = load, clock.monotonic_s()
+        own_running = self._running.get(replica_id, 0)
+        self._reports.record(replica_id, load, own_running)
+
     def find_limit_wait_s(self, service: ids.ServiceName) -> float:
         """Time until the request limit of some replica leaves room."""
         ready = self._directory.replicas.list_ready(service)
@@ -322,7 +354,7 @@
             response.status, response.headers
         )
         if info.load is not None:
-            self._loads[replica.replica_id] = info.load, clock.monotonic_s()
+            self.record_load(replica.replica_id, info.load)
         is_foreign = info.request_id not in (None, call.request_id)
         if info.is_leaving and not is_foreign:
             self._directory.mark_leaving(replica)
