Place and move items of jobs by the work factor of replicas

Cause: a replica without a recent pace counted as fast as the best one, and was no place to move a straggler to. The pace of an attempt was its mean, which hides a replica that slows down on the way. Change: where the pace is unknown or outdated, it is derived from the reported work factor and the usual pace of the others; a straggler moves there if it ends sooner by a margin. Without work factors nothing changes.

--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -58,6 +58,7 @@
         self._connections = target_connections.TargetConnections()
         self._jobs: dict[ids.JobId, open_jobs.OpenJob] = {}
         self._pace_tracker = pace.PaceTracker()
+        self._speed_tracker = pace.SpeedTracker()
         self._replica_tracker = tasks.ReplicaTracker()
         self._wakeup = wakeup.Wakeup()
         self._recorder = recording.ItemRecorder(self._log)
@@ -244,6 +245,7 @@
             self._replica_tracker.is_avoided(replica_id),
             self._replica_tracker.failure_rate(replica_id),
             self._replica_tracker.is_on_trial(replica_id),
+            self._speed_tracker.work_factor(replica_id),
         )
 
     def _count_free(self, replica: deployment.Replica) -> int:
@@ -281,7 +283,7 @@
     def _find_faster_replica(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
     ) -> typing.Optional[scheduling.Candidate]:
-        pace_s = attempt.pace_s
+        pace_s = self._speed_tracker.get_run_pace_s(attempt)
         if pace_s is None or attempt.run_events < scheduling.MIN_PACE_EVENTS:
             return None
         self._pace_tracker.record(attempt.replica.replica_id, pace_s)
@@ -407,6 +409,7 @@
             self._replica_tracker.record_load(
                 replica_id, info.load.running + info.load.waiting
             )
+            self._speed_tracker.record(replica_id, info.load)
         self._limits.record_answer(replica_id, info)
 
     def _run_attempt(
--- a/src/lentildeal/_internal/jobs/scheduling.py
+++ b/src/lentildeal/_internal/jobs/scheduling.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import statistics
 import typing
 
 from lentildeal._internal.models import ids
@@ -26,6 +27,8 @@
 # Paces that differ by less than this factor count as equal. Measurements vary,
 # and replicas of two speeds differ by 1.3.
 SIMILAR_PACE_FACTOR = 1.15
+# Events that a move costs: the prefill, and the event that was under way.
+MOVE_COST_EVENTS = 2
 # An item with at least this many events left is long: it is sent to one of the
 # fastest replicas, and not to one whose pace has to be found out again.
 LONG_ITEM_EVENTS = 30
@@ -57,6 +60,8 @@
         is_avoided: Whether it is avoided after a failure or refusal.
         failure_rate: Share of its attempts that failed, from 0 to 1.
         is_on_trial: Whether it made no event since it failed.
+        work_factor: How long work takes there according to its last report,
+            1.0 is usual; None if it is unknown or outdated.
     """
 
     replica_id: ids.ReplicaId
@@ -68,6 +73,7 @@
     is_avoided: bool = False
     failure_rate: float = 0.0
     is_on_trial: bool = False
+    work_factor: typing.Optional[float] = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,6 +119,7 @@
     requirements: Requirements, candidates: typing.Iterable[Candidate]
 ) -> typing.Optional[Candidate]:
     """Chooses the best replica with a free slot, None if there is none."""
+    candidates = list(candidates)
     suitable = [
         c
         for c in candidates
@@ -121,8 +128,11 @@
     if not suitable:
         return None
     is_long = requirements.expected_left >= LONG_ITEM_EVENTS
+    # Without any known pace, work factors still rank the replicas.
+    usual_pace_s = find_usual_pace_s(candidates) or 1.0
     paces_s = {
-        c.replica_id: c.pace_s or (c.last_pace_s if is_long else None)
+        c.replica_id: expect_pace_s(c, usual_pace_s)
+        or (c.last_pace_s if is_long else None)
         for c in suitable
     }
     best_pace_s = min((p for p in paces_s.values() if p), default=1.0)
@@ -146,6 +156,29 @@
     return min(suitable, key=cost)
 
 
+def find_usual_pace_s(
+    candidates: typing.Iterable[Candidate],
+) -> typing.Optional[float]:
+    """Pace at the usual work factor, None if no pace is known."""
+    paces_s = [
+        c.pace_s / (c.work_factor or 1.0)
+        for c in candidates
+        if c.pace_s is not None
+    ]
+    return statistics.median_low(paces_s) if paces_s else None
+
+
+def expect_pace_s(
+    candidate: Candidate, usual_pace_s: typing.Optional[float]
+) -> typing.Optional[float]:
+    """Measured pace, otherwise the one that the work factor stands for."""
+    if candidate.pace_s is not None:
+        return candidate.pace_s
+    if candidate.work_factor is None or usual_pace_s is None:
+        return None
+    return candidate.work_factor * usual_pace_s
+
+
 def _rank_pace(ratio: float, success_rate: float, is_long: bool) -> float:
     """Rounds a pace relative to the best one; similar paces are equal.
 
@@ -245,21 +278,39 @@
         return None
     if expected_left < MOVE_MIN_LEFT_EVENTS:
         return None
+    candidates = list(candidates)
+    usual_pace_s = find_usual_pace_s(candidates)
     return choose_replica(
         requirements,
         (
             candidate
             for candidate in candidates
-            if candidate.pace_s is not None
-            and candidate.replica_id != current
+            if candidate.replica_id != current
             and not candidate.is_avoided
-            and _is_move_worthwhile(
-                run_pace_s, candidate.pace_s, expected_left
+            and _ends_sooner(
+                candidate, usual_pace_s, run_pace_s, expected_left
             )
         ),
     )
 
 
+def _ends_sooner(
+    candidate: Candidate,
+    usual_pace_s: typing.Optional[float],
+    run_pace_s: float,
+    expected_left: float,
+) -> bool:
+    """Whether an item ends sooner at another replica, with a margin."""
+    if candidate.pace_s is not None:
+        return _is_move_worthwhile(run_pace_s, candidate.pace_s, expected_left)
+    pace_s = expect_pace_s(candidate, usual_pace_s)
+    if pace_s is None:
+        return False
+    # A pace that nobody measured has to pay for the move by a wide margin.
+    elsewhere_s = (expected_left + MOVE_COST_EVENTS) * pace_s
+    return elsewhere_s * MOVE_FACTOR < expected_left * run_pace_s
+
+
 def _is_move_worthwhile(
     run_pace_s: float, pace_s: float, expected_left: float
 ) -> bool:
