Write the section of duties once into the settings

Cause: the platform fills in a section of a table once for each entry of the table, so the settings had the key "duties" four times.

The test fills in sections as the platform does.

The filled-in settings of a deployment have one section.

--- a/tests/unit/platform/test_duty_calls.py
+++ b/tests/unit/platform/test_duty_calls.py
@@ -90,13 +90,22 @@
 
 
 def fill(text, values):
-    """Fills in the template as the platform does."""
-
-    def keep(match):
-        is_present = any(name.startswith(match[2]) for name in values)
-        return match[3] if is_present is (match[1] == '#') else ''
-
-    text = re.sub(r'(?s)\{\{([#^])(\w+)\}\}(.*?)\{\{/\2\}\}', keep, text)
+    """Fills in the template as the platform does.
+
+    The platform writes a section of a table once for each of its entries.
+    """
+
+    def repeat(match):
+        if match[2] in values:
+            count = 1
+        else:
+            count = sum(name.startswith(f'{match[2]}.') for name in values)
+        if match[1] == '^':
+            count = int(not count)
+        return count * match[3]
+
+    section = r'(?s)\{\{([#^])([\w.]+)\}\}(.*?)\{\{/\2\}\}'
+    text = re.sub(section, repeat, text)
     return re.sub(
         r'\{\{([\w.]+)(\|json)?\}\}',
         lambda m: json.dumps(values.get(m[1], 1)) if m[2] else '127.0.0.1',
@@ -108,6 +117,7 @@
     """Guards against settings that are no valid file without duties."""
     text = TEMPLATE.read_text()
     assert 'duties' not in jsonc.parse(fill(text, {}))
+    assert fill(text, CLOUD).count('"duties"') == 1
     duties = jsonc.parse(fill(text, CLOUD))['duties']
     assert duties['address'] == '127.0.0.1:9'
     assert duties['due_s'] == 10
