Read the newest text before a key is judged by an old one

Cause: a daemon that was frozen or cut off served removed keys and answered 401 to keys that other daemons knew already.

Change: directory/text_reads.py knows how old the text may be: the start of the last read that reached the end of the stream. An unknown key at a text older than 0.5 s, and any key at one older than 2 s, waits for one shared read of at most 0.4 s. If the text can't be read, known keys are served without waiting until a read succeeds, and unknown ones get 503. A page that ends before the records that were read does not count as the newest text.

--- a/src/lentildeal/_internal/accounts/authentication.py
+++ b/src/lentildeal/_internal/accounts/authentication.py
@@ -24,6 +24,9 @@
 # must not be served 3 s after the removal; an idle daemon reads the text about
 # every 1.1 s.
 KNOWN_KEY_AGE_S = 2.0
+# Time after a failed read of the text until another is tried for an unknown
+# key. Known keys are served without waiting until a read succeeds.
+RETRY_S = 0.5
 
 
 class Verdict(str, enum.Enum):
@@ -55,11 +58,22 @@
     Attributes:
         age_s: Time since the start of the last successful read of the text,
             which is how old the text may be, in seconds.
-        is_readable: Whether another read may succeed; False while reads fail.
+        failed_age_s: Time since a read failed, in seconds; None if none has
+            failed since the last successful one.
     """
 
     age_s: float = 0.0
-    is_readable: bool = True
+    failed_age_s: typing.Optional[float] = None
+
+    @property
+    def is_old(self) -> bool:
+        """Whether a key of the text may have been removed."""
+        return self.age_s > KNOWN_KEY_AGE_S
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether a read is tried for a key that can't be served."""
+        return self.failed_age_s is None or self.failed_age_s > RETRY_S
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,8 +123,7 @@
         return Decision(Verdict.UNAVAILABLE, cause=Cause.NO_TEXT)
     if text.accounts is None:
         return Decision(Verdict.ADMIT)
-    is_old = freshness.age_s > KNOWN_KEY_AGE_S
-    if is_old and freshness.is_readable:
+    if freshness.is_old and freshness.failed_age_s is None:
         return Decision(Verdict.READ_TEXT)
     # A repeated header names no account, not even if one of its keys does:
     # daemons and proxies could take different ones.
@@ -123,6 +136,6 @@
         return Decision(Verdict.REFUSE, cause=Cause.MISSING_KEY)
     if freshness.age_s <= UNKNOWN_KEY_AGE_S:
         return Decision(Verdict.REFUSE, cause=Cause.UNKNOWN_KEY)
-    if freshness.is_readable:
+    if freshness.may_retry:
         return Decision(Verdict.READ_TEXT)
     return Decision(Verdict.UNAVAILABLE, cause=Cause.STALE_TEXT)
--- a/src/lentildeal/_internal/accounts/plugin.py
+++ b/src/lentildeal/_internal/accounts/plugin.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 from lentildeal._internal.accounts import authentication
 from lentildeal._internal.accounts import job_access
 from lentildeal._internal.accounts import keyring
+from lentildeal._internal.directory import text_reads
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.models import deployment
@@ -43,16 +45,33 @@
             exceptions.NotRunError: This daemon can't tell.
         """
         is_public = route is not None and route.is_public
+        decision = self._decide(keys, is_public)
+        if decision.verdict is authentication.Verdict.READ_TEXT:
+            self._directory.wait_for_text_read(text_reads.READ_WAIT_S)
+            decision = self._decide(keys, is_public, may_read=False)
+        if decision.verdict is not authentication.Verdict.ADMIT:
+            raise _make_error(decision)
+        return decision
+
+    def _decide(
+        self, keys: typing.Sequence[str], is_public: bool, may_read=True
+    ) -> authentication.Decision:
         text = self._directory.text
+        freshness = self._directory.text_freshness
+        if not may_read and freshness.may_retry:
+            freshness = dataclasses.replace(freshness, failed_age_s=0.0)
         decision = authentication.decide(
             text,
             self._find_keyring(text),
             keys,
-            authentication.Freshness(),
+            freshness,
             is_public=is_public,
         )
-        if decision.verdict is not authentication.Verdict.ADMIT:
-            raise _make_error(decision)
+        has_accounts = text is not None and text.accounts is not None
+        if has_accounts and freshness.is_old and freshness.may_retry:
+            # A daemon that was cut off learns of removed keys as soon as the
+            # store can be read again; requests don't wait for it.
+            self._directory.start_text_read()
         return decision
 
     def make_job_filter(
--- a/src/lentildeal/_internal/directory/follower.py
+++ b/src/lentildeal/_internal/directory/follower.py
@@ -10,6 +10,7 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import backoff
+from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import read_pacing
 
 # Wait time of a long-polling read. Changes have to take effect within two
@@ -59,13 +60,30 @@
         stream: str,
         sink: KeyedSink,
         demand: typing.Optional[read_pacing.ReadDemand] = None,
+        confirm: typing.Optional[typing.Callable[[float], None]] = None,
     ) -> None:
+        """Initializes the follower.
+
+        Args:
+            store: Store to read from.
+            stream: Stream to follow.
+            sink: Receiver of the records.
+            demand: Demand for records, which shortens the wait between reads.
+            confirm: Called with the start of each read after which the sink
+                has all records that the stream had then.
+        """
         self._store = store
         self._stream = stream
         self._sink = sink
         self._demand = demand
+        self._confirm = confirm
         self._next: typing.Optional[ids.Offset] = None
 
+    @property
+    def next_offset(self) -> ids.Offset:
+        """Offset up to which the stream was read."""
+        return ids.Offset(0) if self._next is None else self._next
+
     def run(self) -> None:
         """Follows the stream; never returns."""
         delays = backoff.Backoff(FIRST_RETRY_S, LONGEST_RETRY_S)
@@ -98,6 +116,12 @@
             reads.wait()
 
     def _read_once(self) -> None:
+        started_s = clock.uptime_s()
+        if self._read_to_end() and self._confirm is not None:
+            self._confirm(started_s)
+
+    def _read_to_end(self) -> bool:
+        """Reads once; returns whether this reached the end of the stream."""
         if self._next is None:
             found, end = self._store.read_newest(self._stream)
             # Marks the stream reachable first: entries that are missing after
@@ -105,7 +129,7 @@
             self._sink.mark_reachable(self._stream)
             self._sink.handle_snapshot(self._stream, found)
             self._next = end
-            return
+            return True
         page = self._store.read(self._stream, self._next, wait_s=WAIT_S)
         self._sink.mark_reachable(self._stream)
         for record in page.records:
@@ -113,6 +137,7 @@
                 raise exceptions.LogTrimmedError('records are missing', 0)
             self._handle_record(record)
             self._next = ids.Offset(record.offset + 1)
+        return self._next >= page.end
 
     def _handle_record(self, record: platform_base.RawRecord) -> None:
         try:
--- a/src/lentildeal/_internal/directory/plugin.py
+++ b/src/lentildeal/_internal/directory/plugin.py
@@ -7,9 +7,11 @@
 import eventlet
 import prometheus_client
 
+from lentildeal._internal.accounts import authentication
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.directory import follower
 from lentildeal._internal.directory import replicas
+from lentildeal._internal.directory import text_reads
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
@@ -44,6 +46,14 @@
         self._versions: dict[ids.ModelName, ids.Version] = {}
         self._reachable: dict[str, bool] = {}
         self._is_reading_text = False
+        self._text_read = wakeup.Wakeup()
+        self._text_reads = text_reads.TextReads()
+        self._text_follower: typing.Optional[follower.KeyedFollower] = None
+
+    @property
+    def text_freshness(self) -> authentication.Freshness:
+        """How far the text can be trusted to be the newest."""
+        return self._text_reads.freshness
 
     @property
     def text(self) -> typing.Optional[deployment.PublishedText]:
@@ -67,9 +77,16 @@
     def start(self) -> None:
         """Starts a green thread for each stream."""
         for stream in self.platform.directory_streams:
+            is_text = stream == self.platform.directory_streams[0]
             keyed = follower.KeyedFollower(
-                self.platform.store, stream, self, self.read_demand
+                self.platform.store,
+                stream,
+                self,
+                self.read_demand,
+                self._text_reads.record_success if is_text else None,
             )
+            if is_text:
+                self._text_follower = keyed
             self._kernel.spawn(f'follow-{stream}', keyed.run)
 
     def reload(self, settings: settings_module.Settings) -> None:
@@ -97,26 +114,51 @@
         """
         if self._is_reading_text:
             return
-        self._is_reading_text = True
         events.emit(
             'text_outdated',
             version=None if self._text is None else self._text.version,
             required=version,
         )
-        self._kernel.spawn('read-text', self._read_text)
+        self.start_text_read()
+
+    def start_text_read(self) -> None:
+        """Starts to read the newest text, unless it is being read."""
+        if not self._is_reading_text:
+            self._is_reading_text = True
+            self._kernel.spawn('read-text', self._read_text)
+
+    def wait_for_text_read(self, timeout_s: float) -> None:
+        """Reads the newest text and waits for the end of the read."""
+        self.start_text_read()
+        self._text_read.wait(timeout_s)
 
     def _read_text(self) -> None:
         stream = self.platform.directory_streams[0]
+        started_s = self._text_reads.record_start()
         try:
-            found, _ = self.platform.store.read_newest(stream)
+            found, end = self.platform.store.read_newest(stream)
             self.handle_snapshot(stream, found)
+            known = self._text_follower
+            # A page that ends before the records that were read is old.
+            if known is None or end >= known.next_offset:
+                self._text_reads.record_success(started_s)
+            else:
+                self._text_reads.record_failure()
+            self._end_text_read()
         except exceptions.PlatformError as error:
             # Requested again as long as the text is needed.
+            self._text_reads.record_failure()
+            self._end_text_read()
             events.emit('text_read_failed', reason=error.message)
             eventlet.sleep(TEXT_RETRY_S)
         finally:
+            self._text_reads.record_end()
             self._is_reading_text = False
 
+    def _end_text_read(self) -> None:
+        self._text_reads.record_end()
+        self._text_read.set()
+
     def handle_snapshot(
         self, stream: str, records: list[platform_base.KeyedRecord]
     ) -> None:
--- a/tests/unit/accounts/test_authentication.py
+++ b/tests/unit/accounts/test_authentication.py
@@ -11,7 +11,7 @@
 FRESH = authentication.Freshness(0.1)
 # Older than any text of a daemon that reads the store.
 OLD = authentication.Freshness(60.0)
-CUT_OFF = authentication.Freshness(60.0, is_readable=False)
+CUT_OFF = authentication.Freshness(60.0, failed_age_s=0.1)
 Cause = authentication.Cause
 Verdict = authentication.Verdict
 
@@ -87,7 +87,7 @@
     for age_s in (authentication.UNKNOWN_KEY_AGE_S + 0.01, 60.0):
         readable = authentication.Freshness(age_s)
         assert decide('new', freshness=readable).verdict is Verdict.READ_TEXT
-        unreadable = authentication.Freshness(age_s, is_readable=False)
+        unreadable = authentication.Freshness(age_s, failed_age_s=0.1)
         decision = decide('new', freshness=unreadable)
         assert decision.verdict is Verdict.UNAVAILABLE
         assert decision.cause is Cause.STALE_TEXT
@@ -103,6 +103,11 @@
     decision = decide('key-a', freshness=CUT_OFF)
     assert decision.verdict is Verdict.ADMIT
     assert decision.account_name == 'a'
+    later = authentication.Freshness(60.0, failed_age_s=30.0)
+    # Guards against a delay of each call while the store is down.
+    assert decide('key-a', freshness=later).verdict is Verdict.ADMIT
+    # An unknown key is worth another read from time to time.
+    assert decide('new', freshness=later).verdict is Verdict.READ_TEXT
     # No newer text can admit these.
     assert decide(freshness=CUT_OFF).verdict is Verdict.REFUSE
     assert decide('a', 'b', freshness=CUT_OFF).verdict is Verdict.REFUSE
