Order replicas for the open work of services

Cause: services whose text has a section on scaling pay for each replica a second, and nothing ordered more or fewer of them.

--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -33,6 +33,7 @@
     'lentildeal._internal.orders.rotation_plugin',
     'lentildeal._internal.duties.plugin',
     'lentildeal._internal.usage.plugin',
+    'lentildeal._internal.scaling.plugin',
     'lentildeal._internal.gateway.plugin',
     'lentildeal._internal.platform.ingress',
     'lentildeal._internal.reports.readiness',
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -254,6 +254,18 @@
     reason='Why the outcome is unknown, null otherwise.',
     elapsed_ms='Duration of the call, in milliseconds.',
 )
+define(
+    'replicas_ordered',
+    'This daemon decided to order another number of replicas.',
+    service='Service.',
+    failure_domain='Where.',
+    is_spot='Whether they may be reclaimed.',
+    count='Number ordered.',
+    previous='Number that the platform aimed at before.',
+    ready='Replicas that serve there.',
+    need_slots='Slots that the work of the last time needs.',
+    open_jobs='Jobs with open items.',
+)
 define(
     'usage_window_closed',
     'The report of a window was written to the log; it never changes.',
--- a/src/lentildeal/_internal/models/deployment.py
+++ b/src/lentildeal/_internal/models/deployment.py
@@ -189,6 +189,7 @@
         state: Whether it accepts new work.
         versions: Loaded version of each model.
         started_ms: Unix time of its start, in milliseconds.
+        is_spot: Whether it may be reclaimed at short notice.
     """
 
     replica_id: ids.ReplicaId
@@ -199,6 +200,7 @@
     state: ReplicaState
     versions: dict[ids.ModelName, ids.Version]
     started_ms: int = 0
+    is_spot: bool = False
 
 
 # Changes that a directory stream publishes.
--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -99,6 +99,7 @@
             state=_REPLICA_STATES[document['State']],
             versions=decode_models(document.get('Models') or []),
             started_ms=decimals.require_int(document.get('born', 0)),
+            is_spot=document.get('Spot') is True,
         )
     except DECODE_ERRORS as error:
         raise exceptions.UnreadableRecordError(
--- /dev/null
+++ b/tests/unit/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ordered replicas."""
