--- a/src/lentildeal/_internal/scaling/need.py
+++ b/src/lentildeal/_internal/scaling/need.py
@@ -16,7 +16,7 @@
 LONGEST_JOB_S = 60.0
 # The need is averaged over this time. A trainer submits a job every 4 s, and
 # the need of each job falls while it is run.
-AVERAGE_S = 6.0
+AVERAGE_S = 3.0
 # The need is taken to be lower once all averages of this time are lower.
 # Stragglers run for seconds, and trainers pause for seconds between jobs.
 LOWER_AFTER_S = 20.0
