Test ordered replicas with three daemons

Cause: orders of replicas had no test between processes.

Change: the world of the duty tests has a service with bounds and prices; a failure domain without replicas gets the fewest, and again after its holder and its replica are gone.

--- a/tests/functional/test_duties.py
+++ b/tests/functional/test_duties.py
@@ -15,7 +15,17 @@
 
 
 class DutyWorld(platform_world.World):
-    """A deployment with accounts and a platform that expects reports."""
+    """A deployment on a platform that expects reports and orders."""
+
+    engine_section = {
+        'Scaling': {
+            'Min': 1,
+            'Max': 3,
+            'BootS': 1.0,
+            'SpotPrice': 0.2,
+            'ZonePrices': {'d1': 1.0, 'd2': 0.5},
+        }
+    }
 
     def __init__(self, launcher, daemons=3):
         self.platform = launcher.start_stand_in('platform.duties')
@@ -26,7 +36,7 @@
                 'due_s': DUE_S,
             }
         }
-        super().__init__(launcher, daemons, 0, sections)
+        super().__init__(launcher, daemons, 1, sections)
 
     def list_reports(self):
         """Calls with reports, in order."""
@@ -36,6 +46,24 @@
             if call['path'] == '/usage'
         ]
 
+    def list_orders(self):
+        """Calls with orders, in order."""
+        return [
+            call
+            for call in self.platform.read_journal()['calls']
+            if call['path'] == '/scale'
+        ]
+
+    def write_replica_in(self, failure_domain, replica_id):
+        """Writes the entry of a replica that the platform has started."""
+        models = [{'Name': platform_world.MODEL, 'Version': 1}]
+        entry = platform_world.make_entry(
+            'engines', self.engines[0].address, models
+        )
+        self.write(
+            'keyed.servers', replica_id, {**entry, 'Zone': failure_domain}
+        )
+
     def find_holder(self):
         """The daemon that sent the last report."""
         reports = self.list_reports()
@@ -124,3 +152,23 @@
     time.sleep(3.0)
     check_rules(world.list_reports())
     assert world.list_reports()[-1]['holder'] != holder.name
+
+
+def test_failure_domain_without_replicas_gets_the_fewest(world):
+    """Guards against orders that are lost with their holder, or repeated."""
+    processes.wait_for(world.list_orders, 'an order')
+    world.write_replica_in('d2', 'ordered')
+    time.sleep(3.0)
+    orders = world.list_orders()
+    assert [call['body'] for call in orders] == [
+        {'Service': 'engines', 'Zone': 'd2', 'BatchGroups': 1}
+    ]
+    holder = world.find_holder()
+    assert holder.name == orders[0]['holder']
+    holder.kill()
+    world.write('keyed.servers', 'ordered', None)
+    processes.wait_for(lambda: len(world.list_orders()) > 1, 'another order')
+    first, second = world.list_orders()[:2]
+    assert second['body']['Zone'] == 'd2'
+    assert second['token'] > first['token']
+    assert second['at_s'] - first['at_s'] >= 3.0
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -60,7 +60,13 @@
 
 
 class World:
-    """A deployment of daemons, engines and one replica without a model."""
+    """A deployment of daemons, engines and one replica without a model.
+
+    Attributes:
+        engine_section: More fields of the service of the engines.
+    """
+
+    engine_section: dict[str, typing.Any] = {}
 
     def __init__(
         self, launcher, daemons=3, engines=2, sections=None, **engine_options
@@ -142,7 +148,12 @@
         ]
         engine = {'Slots': 4, 'Stride': 1, 'Models': [{'Name': MODEL}]}
         services = [
-            {'Name': 'engines', 'MaxConnections': 50, 'Engine': engine},
+            {
+                'Name': 'engines',
+                'MaxConnections': 50,
+                'Engine': engine,
+                **self.engine_section,
+            },
             {'Name': 'desk', 'MaxConnections': 50},
         ]
         self.write(
