--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -60,7 +60,13 @@
 
 
 class World:
-    """A deployment of daemons, engines and one replica without a model."""
+    """A deployment of daemons, engines and one replica without a model.
+
+    Attributes:
+        engine_section: More fields of the service of the engines.
+    """
+
+    engine_section: dict[str, typing.Any] = {}
 
     def __init__(
         self,
@@ -159,7 +165,12 @@
         ]
         engine = {'Slots': 4, 'Stride': 1, 'Models': [{'Name': MODEL}]}
         services = [
-            {'Name': 'engines', 'MaxConnections': 50, 'Engine': engine},
+            {
+                'Name': 'engines',
+                'MaxConnections': 50,
+                'Engine': engine,
+                **self.engine_section,
+            },
             {'Name': 'desk', 'MaxConnections': 50},
         ]
         self.write(
