Send extra copies of late calls within a limit set by operators

Cause: each late call that may be repeated was sent to a second replica, also when the service as a whole was slow. Change: settings section hedging (off by default, then nothing changes). routing/extra_copies.py decides: later than 95 % of its kind by a rank that holds for any distribution, half of the objective with fewer than 19 measurements; a budget as a share of requests that starts at a random fraction; no copy under overload, past the time left, or where half of the slots are taken. A replica without a recent report is asked for its status first. The loser is cancelled and its time counted; a replica that is overtaken after three times the usual time counts as failing.

--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -106,12 +106,14 @@
         is_busy: Whether an order is being carried out.
         order_count: Orders accepted since the replica started.
         is_leaving: Whether the replica will leave and wants no more requests.
+        load: Load of the replica, None if not reported.
     """
 
     versions: dict[ids.ModelName, ids.Version]
     is_busy: bool
     order_count: int
     is_leaving: bool = False
+    load: typing.Optional[ReplicaLoad] = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -14,12 +14,14 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import choice
+from lentildeal._internal.gateway import copies
 from lentildeal._internal.gateway import streams
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import target_connections
+from lentildeal._internal.routing import extra_copies
 from lentildeal._internal.routing import finish_times
 from lentildeal._internal.routing import health
 from lentildeal._internal.utils import clock
@@ -87,6 +89,7 @@
             ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
         ] = {}
         self._reports = finish_times.LoadReports()
+        self.copy_policy = extra_copies.CopyPolicy(kernel.settings.hedging)
 
     def start(self) -> None:
         """See the base class."""
@@ -208,6 +211,39 @@
         own_running = self._running.get(replica_id, 0)
         self._reports.record(replica_id, load, own_running)
 
+    def has_room_for_copy(self, replica: deployment.Replica) -> bool:
+        """Whether a replica has room for an extra copy.
+
+        Asks the replica unless its last report is still valid. Copies are
+        rare, and one at a busy replica costs more than a status check.
+        """
+        (estimate,) = self._estimate([replica])
+        if estimate.weight <= 0.0:
+            try:
+                load = self._directory.platform.get_report(replica).load
+            except exceptions.PlatformError:
+                return False
+            if load is not None:
+                self.record_load(replica.replica_id, load)
+            (estimate,) = self._estimate([replica])
+        return self.copy_policy.has_room(estimate)
+
+    def record_overtaken(
+        self, replica_id: ids.ReplicaId, elapsed_s: float
+    ) -> None:
+        """Records that a copy answered before a replica did.
+
+        The attempt is cancelled, so that a replica that never answers would
+        otherwise stay in use.
+        """
+        replica = self._directory.replicas.get(replica_id)
+        if replica is None:
+            return
+        ready = self._directory.replicas.list_ready(replica.service)
+        addresses = [other.address for other in ready]
+        if self._health.is_overdue(replica.address, elapsed_s, addresses):
+            self._health.record_failure(replica.address, addresses)
+
     def find_limit_wait_s(self, service: ids.ServiceName) -> float:
         """Time until the request limit of some replica leaves room."""
         ready = self._directory.replicas.list_ready(service)
@@ -445,6 +481,11 @@
         # Attempts that found no turn at their replica.
         self._unsent = 0
         self._failed_response: typing.Optional[calls.LiveResponse] = None
+        self._copy: typing.Optional[copies.CallCopy] = None
+        if self._is_safe and gateway.copy_policy.is_on:
+            self._copy = copies.CallCopy(
+                gateway.copy_policy, route, call, self._service
+            )
         self.tried: list[ids.ReplicaId] = []
         self.answered_by: typing.Optional[ids.ReplicaId] = None
 
@@ -463,6 +504,8 @@
         try:
             self._start_attempt()
             hedge_s = choice.get_hedge_delay_s(self._route.objective_s)
+            if self._copy is not None:
+                hedge_s = max(0.0, self._copy.find_wait_s())
             hedge = clock.Deadline(hedge_s)
             while self._running:
                 result = self._wait_for_result(hedge)
@@ -473,12 +516,16 @@
                     self._handle_failure(result)
                 elif self._is_finished():
                     break
+                elif self._copy is not None:
+                    self._try_copy(self._copy)
                 elif self._is_safe and hedge.has_passed:
                     hedge = clock.Deadline(hedge_s)
                     self._start_attempt()
         finally:
             for thread in self._threads:
                 thread.kill()
+            if self._copy is not None:
+                self._finish_copy(self._copy)
         if self._failed_response is not None:
             return self._failed_response
         raise self._make_error()
@@ -500,6 +547,41 @@
         self._running += 1
         self._threads.append(eventlet.spawn(self._run_attempt, replica))
 
+    def _try_copy(self, copy: copies.CallCopy) -> None:
+        """Sends an extra copy if the call is late and the limits allow it."""
+        attempts = len(self.tried) - self._unsent
+        if attempts >= self._route.max_attempts or self._has_crashed:
+            return
+        if not copy.may_send(self._deadline.remaining_s):
+            return
+        replica = self._gateway.choose(self._service, self.tried)
+        if replica is None:
+            copy.record_denied(extra_copies.Verdict.NO_ROOM)
+            return
+        copy.record_start(replica.replica_id)
+        self.tried.append(replica.replica_id)
+        self._running += 1
+        self._threads.append(eventlet.spawn(self._run_copy, copy, replica))
+
+    def _run_copy(
+        self, copy: copies.CallCopy, replica: deployment.Replica
+    ) -> None:
+        if self._gateway.has_room_for_copy(replica):
+            copy.record_sent(self.tried[0])
+            self._run_attempt(replica)
+            return
+        copy.record_unsent()
+        reason = 'no room for an extra copy'
+        self._results.put(
+            AttemptResult(replica, None, True, reason, is_sent=False)
+        )
+
+    def _finish_copy(self, copy: copies.CallCopy) -> None:
+        copy.finish(self.answered_by)
+        is_won = self.answered_by not in (None, self.tried[0])
+        if is_won and self.answered_by == copy.replica_id:
+            self._gateway.record_overtaken(self.tried[0], copy.elapsed_s)
+
     def _run_attempt(self, replica: deployment.Replica) -> None:
         self._results.put(
             self._gateway.attempt(
@@ -527,9 +609,19 @@
         if not result.is_not_run:
             self._may_have_run = True
             self._failed_response = result.response or self._failed_response
+        elif result.is_sent and 'no connection' not in result.reason:
+            self._gateway.copy_policy.record_refusal(self._service)
+        if self._running and self._is_copy(result):
+            # The first attempt goes on; the copy is not replaced.
+            return
         if result.is_not_run or self._is_safe:
             self._start_attempt()
 
+    def _is_copy(self, result: AttemptResult) -> bool:
+        if self._copy is None:
+            return False
+        return result.replica.replica_id == self._copy.replica_id
+
     def _make_error(self) -> exceptions.LentildealError:
         if self._may_have_run or self._running:
             return exceptions.MayHaveRunError(
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -254,6 +254,15 @@
     attempts='Attempts made.',
     elapsed_ms='Time since the request was read, in milliseconds.',
 )
+define(
+    'extra_copy_sent',
+    'A second copy of a late live call was sent.',
+    request='Request id.',
+    route='Route.',
+    replica='Replica that got the copy.',
+    first='Replica that has not answered yet.',
+    elapsed_ms='Time since the first attempt, in milliseconds.',
+)
 define(
     'call_failed',
     'A live call ended without a response from a replica.',
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -127,6 +127,7 @@
                 # Counts accepted orders; it is not the position of an entry.
                 decimals.require_int(report['Sequence']),
                 _is_leaving(response.status, response.headers),
+                _read_load(response.headers.get(names.REPLICA_LOAD.lower())),
             )
         except documents.DECODE_ERRORS as error:
             raise exceptions.UnreadableRecordError(
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -182,6 +182,27 @@
         return self.processor_share * self.processor_speed
 
 
+@dataclasses.dataclass(frozen=True)
+class Hedging:
+    """Extra copies of live calls that may be repeated."""
+
+    share_of_requests: float = options.option(
+        'Most extra copies, as a share of the requests that may be repeated;'
+        ' 0 turns them off, and a second attempt is made after half of the'
+        ' objective.',
+        0.0,
+        minimum=0,
+        maximum=1,
+    )
+    share_of_slots: float = options.option(
+        'Most slots of a replica that extra copies of this daemon take at the'
+        ' same time, as a share; at least one.',
+        0.2,
+        minimum=0,
+        maximum=0.5,
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class Settings:
     """The settings file of a daemon."""
@@ -220,6 +241,9 @@
     resources: Resources = options.option(
         'Resources of the instance.', factory=Resources
     )
+    hedging: Hedging = options.option(
+        'Extra copies of live calls.', factory=Hedging
+    )
     snapshots: Snapshots = options.option(
         'Snapshots of the text in effect.', factory=Snapshots
     )
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -11,18 +11,26 @@
 
 REQUEST_ID_HEADER = 'Lentildeal-Request-Id'
 VERSIONS_HEADER = 'Lentildeal-Weight-Versions'
+LOAD_HEADER = 'Lentildeal-Replica-Load'
 LOAD_DURATION_S = 0.2
+SLOW_WORK_S = 1.0
+# Interval at which a plain request notices that its connection was closed.
+CHECK_INTERVAL_S = 0.02
 
 
 class Replica(common.StandIn):
     """One replica; the text of a request depends on its id only."""
 
-    # cut: the connection is closed after three events; fail: run, then
-    # respond with 500; foreign: the response names another request; full: 503
-    # without running the request; leaving: all answers say so; limit: requests
-    # a second that it names, 0 for none; lose: run, then closed without a
-    # response.
+    # busy: requests that load reports add to the running ones; cut: the
+    # connection is closed after three events; fail: run, then respond with
+    # 500; foreign: the response names another request; full: 503 without
+    # running the request; leaving: all answers say so; limit: requests a
+    # second that it names, 0 for none; lose: run, then closed without a
+    # response; slow: a plain request takes a second; slots: slots that it
+    # names in load reports, 0 for no reports; work: percentage of the usual
+    # work time that it names.
     fault_defaults = {
+        'busy': 0,
         'cut': 0,
         'fail': 0,
         'foreign': 0,
@@ -30,6 +38,9 @@
         'leaving': 0,
         'limit': 0,
         'lose': 0,
+        'slots': 0,
+        'slow': 0,
+        'work': 100,
     }
 
     def __init__(self, arguments: argparse.Namespace) -> None:
@@ -38,6 +49,8 @@
         self._orders: list[dict] = []
         self._runs: list[dict] = []
         self._is_loading = False
+        self._running = 0
+        self._dropped = 0
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -48,8 +61,12 @@
         parser.add_argument('--event-ms', type=int, default=20)
 
     def journal(self) -> dict:
-        """Requests that ran, and orders, each in order of arrival."""
-        return {'runs': self._runs, 'orders': self._orders}
+        """Requests that ran, orders, and requests dropped by callers."""
+        return {
+            'runs': self._runs,
+            'orders': self._orders,
+            'dropped': self._dropped,
+        }
 
     def handle(self, request: common.Request) -> common.Response:
         """See the base class."""
@@ -116,18 +133,38 @@
             return common.Response(500, headers)
         model = request.headers.get('lentildeal-model')
         if model is None:
+            if self.faults.should_inject('slow'):
+                self._work_slowly(request)
+                headers.update(self._state_headers)
             return common.Response(200, headers, b'plain ' + request.body)
         headers[VERSIONS_HEADER] = str(self._versions[model])
         headers['Content-Type'] = 'text/event-stream'
         start = 0 if last_event_id is None else int(last_event_id) + 1
         return common.Response(200, headers, self._stream(request, start))
 
+    def _work_slowly(self, request: common.Request) -> None:
+        """Works for long; a request whose connection closes is dropped."""
+        self._running += 1
+        try:
+            for _ in range(int(SLOW_WORK_S / CHECK_INTERVAL_S)):
+                eventlet.sleep(CHECK_INTERVAL_S)
+                if request.is_client_gone():
+                    self._dropped += 1
+                    request.abort()
+        finally:
+            self._running -= 1
+
     @property
     def _state_headers(self) -> dict[str, str]:
         limit = self.faults['limit']
         headers = {'Server-Limit': str(limit)} if limit else {}
         if self.faults['leaving']:
             headers['Server-Leaving'] = '1'
+        slots = self.faults['slots']
+        if slots:
+            work = self.faults['work']
+            running = self._running + self.faults['busy']
+            headers[LOAD_HEADER] = f'{running},0,{slots},{work}'
         return headers
 
     def _stream(
