--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -89,6 +89,8 @@
             ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
         ] = {}
         self._reports = finish_times.LoadReports()
+        # What the last choice expected of the replica that it chose.
+        self._expected: dict[ids.ReplicaId, finish_times.Expectation] = {}
         self.copy_policy = extra_copies.CopyPolicy(kernel.settings.hedging)
 
     def start(self) -> None:
@@ -155,6 +157,7 @@
             replica=forwarder.answered_by,
             attempts=len(forwarder.tried),
             elapsed_ms=int(elapsed_s * 1000),
+            **forwarder.choice_fields.get(forwarder.answered_by, {}),
         )
         return response
 
@@ -164,6 +167,7 @@
         tried: typing.Container[ids.ReplicaId],
     ) -> typing.Optional[deployment.Replica]:
         """Chooses a replica for an attempt, None without an untried one."""
+        self._expected.clear()
         ready = [
             replica
             for replica in self._directory.replicas.list_ready(service)
@@ -185,7 +189,10 @@
         """Chooses by finish time if replicas report their speed."""
         if self._reports.has_work_factor(r.replica_id for r in replicas):
             expected = finish_times.choose(self._estimate(replicas), tried)
-            return None if expected is None else expected.estimate.replica_id
+            if expected is None:
+                return None
+            self._expected[expected.estimate.replica_id] = expected
+            return expected.estimate.replica_id
         return choice.choose(
             [self._make_candidate(replica) for replica in replicas], tried
         )
@@ -203,6 +210,11 @@
             for replica in replicas
         ]
 
+    def pop_choice_fields(self, replica_id: ids.ReplicaId) -> dict:
+        """Log fields on why a replica was just chosen, if by finish time."""
+        expected = self._expected.pop(replica_id, None)
+        return {} if expected is None else expected.to_fields()
+
     def record_load(
         self, replica_id: ids.ReplicaId, load: platform_base.ReplicaLoad
     ) -> None:
@@ -487,6 +499,7 @@
                 gateway.copy_policy, route, call, self._service
             )
         self.tried: list[ids.ReplicaId] = []
+        self.choice_fields: dict[typing.Optional[ids.ReplicaId], dict] = {}
         self.answered_by: typing.Optional[ids.ReplicaId] = None
 
     @property
@@ -543,10 +556,16 @@
         replica = self._gateway.choose(self._service, self.tried)
         if replica is None:
             return
-        self.tried.append(replica.replica_id)
-        self._running += 1
+        self._record_choice(replica.replica_id)
         self._threads.append(eventlet.spawn(self._run_attempt, replica))
 
+    def _record_choice(self, replica_id: ids.ReplicaId) -> None:
+        self.tried.append(replica_id)
+        self.choice_fields[replica_id] = self._gateway.pop_choice_fields(
+            replica_id
+        )
+        self._running += 1
+
     def _try_copy(self, copy: copies.CallCopy) -> None:
         """Sends an extra copy if the call is late and the limits allow it."""
         attempts = len(self.tried) - self._unsent
@@ -559,8 +578,7 @@
             copy.record_denied(extra_copies.Verdict.NO_ROOM)
             return
         copy.record_start(replica.replica_id)
-        self.tried.append(replica.replica_id)
-        self._running += 1
+        self._record_choice(replica.replica_id)
         self._threads.append(eventlet.spawn(self._run_copy, copy, replica))
 
     def _run_copy(
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -253,6 +253,11 @@
     replica='Replica that responded.',
     attempts='Attempts made.',
     elapsed_ms='Time since the request was read, in milliseconds.',
+    expected='Finish that was expected at that replica, in units of usual'
+    ' work; like the next three only where replicas report their speed.',
+    work_factor='How long work was assumed to take there, 1.0 is usual.',
+    load='Requests that were assumed there.',
+    report_age_ms='Age of its load report; missing if it was outdated.',
 )
 define(
     'extra_copy_sent',
--- a/src/lentildeal/_internal/routing/finish_times.py
+++ b/src/lentildeal/_internal/routing/finish_times.py
@@ -104,6 +104,17 @@
     load: float
     finish: float
 
+    def to_fields(self) -> dict[str, typing.Any]:
+        """Fields that show in a log line why the replica was chosen."""
+        fields = {
+            'expected': round(self.finish, 2),
+            'work_factor': round(self.work_factor, 2),
+            'load': round(self.load, 1),
+        }
+        if self.estimate.weight > 0.0:
+            fields['report_age_ms'] = int(self.estimate.age_s * 1000)
+        return fields
+
 
 def find_usual(estimates: typing.Iterable[Estimate]) -> Usual:
     """Averages the reports of a service by their weight.
--- a/tests/unit/gateway/test_finish_times.py
+++ b/tests/unit/gateway/test_finish_times.py
@@ -56,3 +56,15 @@
     report(gateway, 'r1', 2, 0, 8)
     report(gateway, 'r2', 3, 0, 8)
     assert count_choices(gateway) == {'r1': 100}
+
+
+def test_log_fields_show_why_a_replica_was_chosen(gateway):
+    # Guards against lines that name a replica without the reasons, and against
+    # reasons of an earlier call.
+    report(gateway, 'r1', 1, 0, 8, 3.0)
+    report(gateway, 'r2', 4, 0, 8, 1.0)
+    assert gateway.choose(SERVICE, ()).replica_id == 'r2'
+    fields = gateway.pop_choice_fields('r2')
+    assert (fields['work_factor'], fields['load']) == (1.0, 4.0)
+    assert fields['expected'] > 1.0 and fields['report_age_ms'] < 1000
+    assert gateway.pop_choice_fields('r2') == {}
