--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -107,15 +107,15 @@
         self.write_replica(replica_id, 'engines', engine.address, {MODEL: 1})
         return engine
 
-    def start_daemon(self, instance, port=None) -> StoreDaemon:
-        """Starts a daemon."""
+    def start_daemon(self, instance, port=None, **sections) -> StoreDaemon:
+        """Starts a daemon with further sections of its settings."""
         return self._launcher.add(
             StoreDaemon(
                 instance,
                 self.store.address,
                 self._launcher.directory,
                 port,
-                **self._sections,
+                **{**self._sections, **sections},
             )
         )
 
