Count a call in the window in which its work began

Cause: a call was counted when its answer arrived, so that those near the end of a window were reported in the next one.

Change: the shortest call of a route tells how long the work takes; a call began that long before its answer. One that may have run without an answer counts as begun when it was sent, a stream with its first bytes.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -125,7 +125,7 @@
         forwarder = _CallForwarder(self, route, call)
         try:
             self._kernel.check_time_left(forwarder.limit_s)
-            with self._usage.track(call.account):
+            with self._usage.track(route, call.account):
                 response = forwarder.run()
         except exceptions.LentildealError as error:
             is_refusal = isinstance(error, exceptions.NotRunError)
--- a/src/lentildeal/_internal/usage/counting.py
+++ b/src/lentildeal/_internal/usage/counting.py
@@ -15,8 +15,32 @@
 # Time after the end of a window from which a daemon tells that all its counts
 # are in the log. Longer than the answers of most calls that began before.
 COMPLETE_S = 0.8
-# Windows for which counts are kept; a minute at the usual length.
-KEPT_WINDOWS = 12
+# Growth of the shortest known time of a route with each call.
+SHORTEST_GROWTH = 1.002
+
+
+class StartEstimator:
+    """Estimates when a replica began a call whose answer has arrived.
+
+    Only the answer shows that it did. The shortest call of a route waited
+    nowhere, so that it took as long as the work; longer ones waited before.
+    """
+
+    def __init__(self) -> None:
+        self._shortest_s: dict[ids.RouteName, float] = {}
+
+    def find_work_s(self, route: ids.RouteName, elapsed_s: float) -> float:
+        """Time from the start of the work to the answer.
+
+        Args:
+            route: Route of the call.
+            elapsed_s: Time from sending the call to its answer.
+        """
+        known_s = self._shortest_s.get(route, elapsed_s)
+        # Follows work that has become slower.
+        shortest_s = min(elapsed_s, known_s * SHORTEST_GROWTH)
+        self._shortest_s[route] = shortest_s
+        return shortest_s
 
 
 class RequestCounter:
--- a/src/lentildeal/_internal/usage/plugin.py
+++ b/src/lentildeal/_internal/usage/plugin.py
@@ -14,6 +14,7 @@
 from lentildeal._internal.jobs import records
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
+from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.usage import counting
@@ -50,6 +51,7 @@
         if not self._is_enabled:
             return
         self._clock = window_clock.WindowClock()
+        self._starts = counting.StartEstimator()
         self._counter = counting.RequestCounter(
             kernel.incarnation, duties.window_s
         )
@@ -75,25 +77,35 @@
 
     @contextlib.contextmanager
     def track(
-        self, account: typing.Optional[ids.AccountName]
+        self,
+        route: deployment.Route,
+        account: typing.Optional[ids.AccountName],
     ) -> typing.Iterator[None]:
         """Counts a call that a replica began, once for all its attempts.
 
-        A call without an answer that may have run is counted, because a
-        replica that took it has begun it in most cases. A call that no
-        replica has run is not counted.
+        A call without an answer that may have run is counted as begun when it
+        was sent, because a replica that took it has begun it in most cases. A
+        call that no replica has run is not counted.
         """
+        if not self._is_enabled or account is None:
+            yield
+            return
+        started_s = self._clock.now_s()
         try:
             yield
         except exceptions.MayHaveRunError:
-            self._record(account)
+            self._record(account, started_s)
             raise
-        self._record(account)
-
-    def _record(self, account: typing.Optional[ids.AccountName]) -> None:
-        if self._is_enabled and account is not None:
-            self._counter.record(account, self._clock.now_s())
-            _counted_total.labels('counted').inc()
+        now_s = self._clock.now_s()
+        work_s = 0.0
+        # The answer of a stream begins with its first token.
+        if route.kind is not deployment.RouteKind.STREAM:
+            work_s = self._starts.find_work_s(route.name, now_s - started_s)
+        self._record(account, now_s - work_s)
+
+    def _record(self, account: ids.AccountName, began_s: float) -> None:
+        self._counter.record(account, began_s)
+        _counted_total.labels('counted').inc()
 
     def _save_counts(self) -> None:
         retry_s = FIRST_RETRY_S
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -54,7 +54,7 @@
                 choose=lambda service, tried: None
             ),
             'usage': types.SimpleNamespace(
-                track=lambda account: contextlib.nullcontext()
+                track=lambda route, account: contextlib.nullcontext()
             ),
             # This daemon holds all leases.
             'duties': types.SimpleNamespace(
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -1,6 +1,7 @@
 """Attempts of live calls that end with an error nobody expected."""
 
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -116,3 +117,21 @@
     # The replica still accepts connections, so the call did not end it.
     error = exceptions.ConnectionClosedError('closed')
     assert len(set(send_with(kernel, monkeypatch, error))) == 2
+
+
+def test_call_of_several_attempts_is_counted_once(kernel, monkeypatch):
+    """Guards against a bill that grows with the attempts of a call."""
+    tracked = []
+
+    @contextlib.contextmanager
+    def track(route, account):
+        yield
+        tracked.append(account)
+
+    kernel.plugins['usage'].track = track
+    gateway, sent = make_gateway(kernel, monkeypatch, {'r1'})
+    call = dataclasses.replace(make_call(), account='a')
+    route = make_route(deployment.RouteKind.SAFE)
+    while len(sent) == len(tracked):
+        gateway.forward(route, call)
+    assert len(sent) == len(tracked) + 1
--- a/tests/unit/usage/test_plugin.py
+++ b/tests/unit/usage/test_plugin.py
@@ -15,9 +15,11 @@
 from lentildeal._internal.usage import plugin
 from lentildeal._internal.usage import reports
 from tests.lib import fake_store
+from tests.lib import job_builders
 from tests.lib import store_kernel
 
 WINDOW_S = 0.5
+ROUTE = job_builders.make_scoring_route()
 LEASE = lease_manager.USAGE_LEASE
 
 
@@ -121,15 +123,15 @@
     """
     holder, other = start(1), start(2)
     other.duties.is_holder = False
-    with holder.usage.track('a'):
+    with holder.usage.track(ROUTE, 'a'):
         pass
-    with other.usage.track(None):
+    with other.usage.track(ROUTE, None):
         pass
     with pytest.raises(exceptions.MayHaveRunError):
-        with other.usage.track('a'):
+        with other.usage.track(ROUTE, 'a'):
             raise exceptions.MayHaveRunError('no answer')
     with pytest.raises(exceptions.NotRunError):
-        with other.usage.track('a'):
+        with other.usage.track(ROUTE, 'a'):
             raise exceptions.NotRunError('busy', cause='busy')
     store_kernel.wait_for(lambda: holder.find_counts() == 2)
     eventlet.sleep(3 * WINDOW_S)
@@ -151,7 +153,7 @@
     """Guards against a missing report, and against one made anew."""
     daemon = start()
     daemon.platform.outcomes = [outcome]
-    with daemon.usage.track('a'):
+    with daemon.usage.track(ROUTE, 'a'):
         pass
     store_kernel.wait_for(lambda: len(daemon.platform.calls) > 1)
     first, second = daemon.platform.calls[:2]
@@ -163,7 +165,7 @@
     first, second = start(1), start(2)
     second.duties.is_holder = False
     first.platform.outcomes = [exceptions.PlatformError('cut off')] * 100
-    with first.usage.track('a'):
+    with first.usage.track(ROUTE, 'a'):
         pass
     store_kernel.wait_for(lambda: first.platform.calls)
     window, counts, _ = first.platform.calls[0]
@@ -209,7 +211,7 @@
     daemon = start()
     eventlet.sleep(0.1)
     store.faults = [fault]
-    with daemon.usage.track('a'):
+    with daemon.usage.track(ROUTE, 'a'):
         pass
     eventlet.sleep(0.2)
     store.apply_late_appends()
@@ -237,6 +239,6 @@
     kernel.plugins['duty_calls'] = types.SimpleNamespace()
     usage = plugin.Usage(kernel)
     usage.start()
-    with usage.track('a'):
+    with usage.track(ROUTE, 'a'):
         pass
     assert not store.streams
--- a/tests/unit/usage/test_reports.py
+++ b/tests/unit/usage/test_reports.py
@@ -161,3 +161,18 @@
     clock.now_s()
     times.advance(31.0)
     assert clock.now_s() == 1036.0
+
+
+def test_call_belongs_to_the_window_in_which_its_work_began():
+    """Guards against calls that are counted when their answer arrives.
+
+    Calls that waited before their work began are counted after the wait.
+    """
+    starts = counting.StartEstimator()
+    for _ in range(20):
+        starts.find_work_s('r', 0.035)
+    assert starts.find_work_s('r', 0.4) == pytest.approx(0.035, rel=0.1)
+    assert starts.find_work_s('r', 0.031) == 0.031
+    for _ in range(2000):
+        work_s = starts.find_work_s('r', 0.1)
+    assert work_s == 0.1
