Test the handling of each answer to an order

Cause: a refused, throttled or unanswered order was handled in code that no test ran, and a new holder decided before it had read the last order.

Change: tests of the plug-in with a fake platform; the log is read to its end before an order is written to it.

Without the repeat, without the pause after 429, or with a resignation after each 409 its tests fail.

--- a/src/lentildeal/_internal/scaling/plugin.py
+++ b/src/lentildeal/_internal/scaling/plugin.py
@@ -135,8 +135,12 @@
         if not orders:
             self._renew(service.name)
             return
+        # A previous holder may have ordered something that was not read yet.
+        if not self._calls.sync():
+            return
+        orders = plan.decide(service.scaling, service.slots, clock.uptime_s())
         previous = {place: plan.get(place).target for place in orders}
-        if not self._plan(service.name, orders):
+        if not orders or not self._plan(service.name, orders):
             return
         for place, count in orders.items():
             self._emit(service, place, count, previous[place])
--- /dev/null
+++ b/tests/unit/scaling/test_plugin.py
@@ -0,0 +1,166 @@
+"""The plug-in on a fake store, with a fake platform."""
+
+import contextlib
+import dataclasses
+import types
+
+import eventlet
+import pytest
+
+from lentildeal._internal.adapters import platform_base
+from lentildeal._internal.duties import plugin as duties_plugin
+from lentildeal._internal import exceptions
+from lentildeal._internal.models import deployment
+from lentildeal._internal.scaling import decisions
+from lentildeal._internal.scaling import plugin
+from lentildeal._internal.settings import settings as settings_module
+from tests.lib import fake_store
+from tests.lib import job_builders
+from tests.lib import store_kernel
+
+SCALING = deployment.Scaling(1, 3, 4.0, 0.2, {'d1': 1.0, 'd2': 0.5})
+LEASE = f'scaling/{job_builders.SERVICE}'
+
+
+class FakePlatform:
+    """Answers orders with the given outcomes, then with DONE."""
+
+    def __init__(self, store):
+        self.store = store
+        self.calls = []
+        self.outcomes = []
+
+    def order_replicas(self, order, duty):
+        self.calls.append(order)
+        outcome = self.outcomes.pop(0) if self.outcomes else None
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome or platform_base.DutyOutcome.DONE
+
+
+class Daemon:
+    """One daemon that holds the lease if told so."""
+
+    def __init__(self, store, is_holder=True):
+        self.kernel = store_kernel.StoreKernel(store)
+        self.kernel.settings.duties = settings_module.Duties(address='x')
+        self.kernel.settings.store.requires_fence = True
+        self.platform = FakePlatform(store)
+        self.resigned = []
+        self.is_holder = is_holder
+        self.kernel.plugins['duties'] = types.SimpleNamespace(
+            find_term=lambda lease_name: 7,
+            may_order=lambda lease_name: self.is_holder,
+            resign=lambda lease_name, reason: self.resigned.append(lease_name),
+        )
+        directory = self.kernel.plugins['directory']
+        directory.platform = self.platform
+        service = directory.text.services[job_builders.SERVICE]
+        directory.text.services[job_builders.SERVICE] = dataclasses.replace(
+            service, scaling=SCALING
+        )
+        self.replicas = directory.replicas
+        self.add_replica('r1', 'd1')
+        self.kernel.add_work_log()
+        calls = duties_plugin.DutyCalls(self.kernel)
+        self.kernel.plugins['duty_calls'] = calls
+        calls.start()
+        plugin.ReplicaScaling(self.kernel).start()
+
+    def add_replica(self, replica_id, failure_domain):
+        replica = job_builders.make_replica(
+            replica_id, failure_domain=failure_domain
+        )
+        self.replicas.apply(deployment.ReplicaChange(replica_id, replica))
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    monkeypatch.setattr(plugin, 'CHECK_S', 0.02)
+    monkeypatch.setattr(decisions, 'SETTLING_S', 0.1)
+    monkeypatch.setattr(decisions, 'RETRY_S', 0.1)
+    monkeypatch.setattr(duties_plugin, 'FIRST_PAUSE_S', 0.3)
+
+
+@pytest.fixture
+def start():
+    store = fake_store.FakeStore()
+    with contextlib.ExitStack() as stack:
+
+        def start_daemon(**options):
+            daemon = Daemon(store, **options)
+            stack.callback(daemon.kernel.close)
+            return daemon
+
+        yield start_daemon
+
+
+def test_number_is_ordered_once(start):
+    """Guards against calls that are paid for and change nothing."""
+    daemon = start()
+    store_kernel.wait_for(lambda: daemon.platform.calls)
+    eventlet.sleep(0.5)
+    assert daemon.platform.calls == [
+        platform_base.ReplicaOrder(job_builders.SERVICE, 'd2', 1)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'least_s'),
+    [
+        (platform_base.DutyOutcome.THROTTLED, 0.3),
+        (exceptions.PlatformError('no answer'), 0.1),
+    ],
+)
+def test_order_without_effect_is_repeated_after_a_pause(
+    start, outcome, least_s
+):
+    """Guards against an order that is lost, and against a flood of calls."""
+    daemon = start()
+    daemon.platform.outcomes = [outcome]
+    store_kernel.wait_for(lambda: daemon.platform.calls)
+    eventlet.sleep(least_s - 0.05)
+    assert len(daemon.platform.calls) == 1
+    store_kernel.wait_for(lambda: len(daemon.platform.calls) > 1)
+    assert daemon.platform.calls[0] == daemon.platform.calls[1]
+
+
+def test_refusal_without_a_newer_token_means_that_none_are_to_be_had(start):
+    """Guards against a holder that resigns because replicas are sold out.
+
+    The other kind is ordered instead.
+    """
+    daemon = start()
+    daemon.platform.outcomes = [platform_base.DutyOutcome.REFUSED]
+    store_kernel.wait_for(lambda: len(daemon.platform.calls) > 1)
+    eventlet.sleep(0.3)
+    assert [order.is_spot for order in daemon.platform.calls] == [False, True]
+    assert not daemon.resigned
+
+
+def test_next_holder_knows_the_ordered_numbers(start):
+    """Guards against a second order while the replica of the first starts."""
+    first, second = start(), start(is_holder=False)
+    store_kernel.wait_for(lambda: first.platform.calls)
+    first.is_holder = False
+    second.is_holder = True
+    eventlet.sleep(0.5)
+    assert not second.platform.calls
+
+
+def test_calls_keep_below_the_rate_of_the_platform():
+    """Guards against calls of the holder that use up what all may send."""
+    times = [0.0]
+    pacer = duties_plugin.Pacer(lambda: times[0])
+    for _ in range(100):
+        times[0] += pacer.wait_s()
+        pacer.record_call(50.0)
+        pacer.record_outcome(is_throttled=False)
+    assert times[0] >= 99 / 25
+    pauses = []
+    for _ in range(6):
+        pacer.record_outcome(is_throttled=True)
+        pauses.append(pacer.wait_s())
+        times[0] += pauses[-1]
+    assert pauses == sorted(pauses)
+    assert pauses[-1] == pytest.approx(duties_plugin.LONGEST_PAUSE_S)
