Add lentildeal route explain, which sends nothing to a replica

Cause: operators could not see where a request would go without sending it. Change: a read-only path on the addresses of readiness checks and metrics answers from the decision modules that place calls and items; the command prints it for people or as JSON. Status 0 placed, 1 refused, 2 wrong use. Names of accounts are shown only if the text has them, so that a key given by mistake is not echoed. Broken to see the tests fail: no check of accounts, unknown names echoed, all requests placed.

--- a/src/lentildeal/_internal/cli/status_codes.py
+++ b/src/lentildeal/_internal/cli/status_codes.py
@@ -8,6 +8,8 @@
 
     OK = 0
     DIFFERENT = 1
+    # The same status; each command has one meaning of it.
+    NOT_PLACED = 1
     USAGE = 2
     FAULTS = 3
     CONFLICT = 4
@@ -22,7 +24,8 @@
 # Descriptions for the generated reference page.
 MEANINGS = {
     Status.OK: 'Done.',
-    Status.DIFFERENT: '`config diff` found differences.',
+    Status.DIFFERENT: '`config diff` found differences; `route explain`: the'
+    ' request would be refused.',
     Status.USAGE: 'The command line is not valid or a file is not readable.',
     Status.FAULTS: 'The text has faults; nothing was published.',
     Status.CONFLICT: 'Another edit of the same revision was accepted.',
--- a/src/lentildeal/_internal/commands/__init__.py
+++ b/src/lentildeal/_internal/commands/__init__.py
@@ -45,6 +45,9 @@
     'explain': Entry(
         'explain', 'Explain', 'Tell what happened to a request, from logs.'
     ),
+    'route explain': Entry(
+        'route_explain', 'RouteExplain', 'Show where a request would go.'
+    ),
     'report burn': Entry(
         'report_burn', 'ReportBurn', 'Show how fast error budgets burn.'
     ),
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -210,6 +210,32 @@
             for replica in replicas
         ]
 
+    def describe_replicas(
+        self, service: typing.Optional[ids.ServiceName]
+    ) -> list[dict[str, typing.Any]]:
+        """Describes the ready replicas of a service, the best one first."""
+        ready = self._directory.replicas.list_ready(service)
+        has_factor = self._reports.has_work_factor(r.replica_id for r in ready)
+        rows = []
+        for expected in finish_times.compare(self._estimate(ready)):
+            replica_id = expected.estimate.replica_id
+            replica = self._directory.replicas.get(replica_id)
+            candidate = self._make_candidate(replica)
+            fields = {'load': round(candidate.load * replica.slots, 1)}
+            if has_factor:
+                fields = expected.to_fields()
+            rows.append(
+                {
+                    'replica': replica_id,
+                    'slots': replica.slots,
+                    'is_remote': not candidate.is_local,
+                    'health': self._health.state_of(replica.address).value,
+                    'limit_wait_s': self._limits.wait_s(replica_id),
+                    **fields,
+                }
+            )
+        return rows
+
     def pop_choice_fields(self, replica_id: ids.ReplicaId) -> dict:
         """Log fields on why a replica was just chosen, if by finish time."""
         expected = self._expected.pop(replica_id, None)
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -15,6 +15,7 @@
 from lentildeal._internal.jobs import table
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
+from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import backoff
@@ -97,6 +98,15 @@
         self._runner.drain()
         self._lease_manager.resign_all()
 
+    def preview(
+        self,
+        route: deployment.Route,
+        model: ids.ModelName,
+        min_version: ids.Version,
+    ) -> runner.Preview:
+        """Shows where an item of a new job would run; sends nothing."""
+        return self._runner.preview(route, model, min_version)
+
     def submit(self, job: jobs.Job) -> None:
         """Accepts a job and returns once it is in the log.
 
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -46,6 +46,22 @@
 )
 
 
+class Preview(typing.NamedTuple):
+    """Where an item of a new job would run.
+
+    Attributes:
+        is_holder: Whether this daemon runs the jobs of the model.
+        waiting: Items that wait here.
+        rows: What is known of each replica, as JSON values.
+        replica_id: Replica that would be chosen, None if an item waits.
+    """
+
+    is_holder: bool
+    waiting: int
+    rows: list[dict[str, typing.Any]]
+    replica_id: typing.Optional[ids.ReplicaId]
+
+
 class JobRunner:
     """Schedules all jobs of this daemon."""
 
@@ -231,6 +247,23 @@
                 found.append(self._make_candidate(replica, model))
         return found
 
+    def preview(
+        self,
+        route: deployment.Route,
+        model: ids.ModelName,
+        min_version: ids.Version,
+    ) -> Preview:
+        """Shows where an item of a new job would run; sends nothing."""
+        candidates = self._list_candidates(route, model)
+        requirements = scheduling.Requirements(min_version)
+        chosen = scheduling.choose_replica(requirements, candidates)
+        return Preview(
+            self._holds_lease(model),
+            sum(task.is_waiting for task in self._iter_tasks()),
+            [_describe_candidate(c, requirements) for c in candidates],
+            None if chosen is None or chosen.is_avoided else chosen.replica_id,
+        )
+
     def _make_candidate(
         self, replica: deployment.Replica, model: ids.ModelName
     ) -> scheduling.Candidate:
@@ -519,3 +552,21 @@
 
 def _elapsed_ms(since_s: float) -> int:
     return int((clock.monotonic_s() - since_s) * 1000)
+
+
+def _describe_candidate(
+    candidate: scheduling.Candidate, requirements: scheduling.Requirements
+) -> dict[str, typing.Any]:
+    return {
+        'replica': candidate.replica_id,
+        'version': candidate.version,
+        'is_accepted': scheduling.has_accepted_version(
+            requirements, candidate
+        ),
+        'slots': candidate.slots,
+        'free_slots': candidate.free_slots,
+        'pace_s': candidate.pace_s,
+        'work_factor': candidate.work_factor,
+        'is_avoided': candidate.is_avoided,
+        'failure_rate': round(candidate.failure_rate, 2),
+    }
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -33,6 +33,7 @@
     'lentildeal._internal.orders.rotation_plugin',
     'lentildeal._internal.gateway.plugin',
     'lentildeal._internal.platform.ingress',
+    'lentildeal._internal.gateway.explanations',
     'lentildeal._internal.reports.readiness',
 )
 
