--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -37,6 +37,7 @@
     'lentildeal._internal.scaling.plugin',
     'lentildeal._internal.gateway.plugin',
     'lentildeal._internal.platform.ingress',
+    'lentildeal._internal.gateway.explanations',
     'lentildeal._internal.reports.readiness',
 )
 
