Add settings for the memory and descriptors of an instance

The budget of memory and the bound on connections need both figures. The settings are checked and have no effect yet. StoreDaemon of the tests takes sections of settings.

--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -175,6 +175,19 @@
         1.0,
         minimum=0.01,
     )
+    memory_mb: typing.Optional[int] = options.option(
+        'Memory of the instance, in megabytes. Load is shed so that the daemon'
+        ' stays below it; without it, only bodies in receipt are bounded.',
+        None,
+        minimum=64,
+    )
+    descriptors: typing.Optional[int] = options.option(
+        'File descriptors that the daemon may open. Idle connections are'
+        ' closed before it has none left; without it, only "connections"'
+        ' bounds them.',
+        None,
+        minimum=128,
+    )
 
     @property
     def cores(self) -> float:
--- a/tests/lib/platform_world.py
+++ b/tests/lib/platform_world.py
@@ -18,7 +18,9 @@
 class StoreDaemon(processes.Process):
     """One daemon connected to the stand-in of the store."""
 
-    def __init__(self, instance, store_address, directory, port=None) -> None:
+    def __init__(
+        self, instance, store_address, directory, port=None, **overrides
+    ) -> None:
         port = port or processes.find_free_port()
         self.arguments = instance, store_address, directory, port
         settings = {
@@ -28,6 +30,7 @@
             'ready_address': f'127.0.0.1:{processes.find_free_port()}',
             'store': {'address': store_address},
             'timing': {'leave_ms': 500, 'drain_ms': 3000},
+            **overrides,
         }
         self.ready_url = f'http://{settings["ready_address"]}'
         path = directory / f'{instance}.jsonc'
@@ -89,14 +92,15 @@
         self.write_replica(replica_id, 'engines', engine.address, {MODEL: 1})
         return engine
 
-    def start_daemon(self, instance, port=None) -> StoreDaemon:
-        """Starts a daemon."""
+    def start_daemon(self, instance, port=None, **overrides) -> StoreDaemon:
+        """Starts a daemon; overrides are sections of its settings."""
         return self._launcher.add(
             StoreDaemon(
                 instance,
                 self.store.address,
                 self._launcher.directory,
                 port,
+                **overrides,
             )
         )
 
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -38,3 +38,13 @@
     text = VALID.replace('127.0.0.1:0', 'localhost:0')
     with pytest.raises(exceptions.SettingsError, match='localhost'):
         settings.parse(text)
+
+
+@pytest.mark.parametrize('name', ['memory_mb', 'descriptors'])
+def test_too_small_resources_are_refused(name):
+    """A daemon that could serve no request must not start."""
+    text = VALID.replace(
+        '"failure_domain"', f'"resources": {{"{name}": 9}}, "failure_domain"'
+    )
+    with pytest.raises(exceptions.SettingsError, match='too small'):
+        settings.parse(text)
