Test crowds of misbehaving clients against one daemon process each

Checked: the process lives, VmHWM <= 80 MB, <= 256 descriptors (the values of the settings), and an ordinary request is answered with the crowd still connected.

These tests are red until the budget exists.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := src tests standins demo bench model soak deploy
 
-.PHONY: soak all demo reference test check format model bench wheel clean
+.PHONY: soak crowds all demo reference test check format model bench wheel clean
 
 all: check test model
 
@@ -40,6 +40,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m soak --seed $(or $(SEED),1) --count $(or $(COUNT),1) --kept
 
+# Measures memory, so it runs alone and in one process.
+crowds: $(STAMP)
+	$(BIN)/python -m pytest -p no:xdist tests/crowds
+
 wheel: $(STAMP)
 	$(BIN)/python -m pip wheel -q --no-deps -w dist .
 
