Bound what clients hold by one budget of memory and connections

Cause: bodies in receipt had a budget of their own (40 MB), and bodies after receipt, decoded JSON, answers and connections had none.

network/memory_budget.py is shared by all servers of a daemon: bodies, decoded JSON (estimated from counts of structural characters, bounded_json.py), and answers are charged to it, connections are bounded by memory and descriptors. network/shedding.py decides who is closed: stalled connections first, then the largest body; for connections idle ones first, the oldest foremost. It takes effect with resources.memory_mb and resources.descriptors. A head has limits.head_timeout_ms from its first byte (408). Without descriptors the listener pauses; before, the server of eventlet ended for good.

Two faults of the code before were found by the crowds: a connection whose last answer couldn't be flushed kept its descriptor until the garbage collection, and each bad head wrote two lines to standard error. glibc kept large blocks that were freed (16 bodies of 8 MB within a budget of 24 MB: peak 88 MB), so that its thresholds are fixed when memory_mb is set.

Tests of the HTTP server, the listener, endless bytes, cut heads, planned stops and settings: 116 passed. test_parsers.py uses real settings instead of a namespace with two fields.

--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -23,6 +23,7 @@
 from lentildeal._internal.logs import events  # noqa: E402
 from lentildeal._internal.logs import output  # noqa: E402
 from lentildeal._internal.settings import settings  # noqa: E402
+from lentildeal._internal.utils import allocator  # noqa: E402
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -38,6 +39,8 @@
     except exceptions.SettingsError as error:
         return _report_settings_error(error)
     _configure_log(loaded)
+    if loaded.resources.memory_mb is not None:
+        allocator.return_large_blocks()
     daemon = kernel.Kernel(loaded)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: daemon.request_drain())
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -144,6 +144,16 @@
     'The settings file is not valid; the current settings stay in effect.',
     reason='What is not valid.',
 )
+define(
+    'clients_shed',
+    'Requests were refused or connections closed to bound what clients use;'
+    ' at most one line a second for each cause.',
+    cause='"memory", "too_large", "connections", "descriptors",'
+    ' "slow_head", "slow_reader".',
+    count='Number since the last line of this cause.',
+    held_bytes='Memory that is held for clients.',
+    connections='Open connections of clients.',
+)
 define('readiness', 'Readiness changed.', ready='Whether the daemon is ready.')
 define(
     'dependency_lost',
--- /dev/null
+++ b/src/lentildeal/_internal/network/bounded_json.py
@@ -0,0 +1,34 @@
+"""Estimates the memory of decoded JSON before it is decoded.
+
+Counts characters that JSON needs for each value, which takes a small part of
+the time of the decoding. Characters in strings count as well; base64 has none
+of them.
+"""
+
+from __future__ import annotations
+
+# Upper bounds of memory in CPython, in bytes: an object and its reference in a
+# container that has grown by doubling.
+_DICT_BYTES = 264
+_LIST_BYTES = 104
+_ELEMENT_BYTES = 64
+_MEMBER_BYTES = 64
+# Characters of a text with any character beyond Latin-1 take up to 4 bytes.
+_WIDE_CHAR_BYTES = 4
+# Nesting is bounded by the decoder, which raises RecursionError.
+
+
+def estimate_bytes(body: bytes) -> int:
+    """Estimates the memory that decoding takes, without the body itself."""
+    is_wide = not body.isascii()
+    text_bytes = len(body) * (_WIDE_CHAR_BYTES if is_wide else 1)
+    has_wide_strings = is_wide or b'\\u' in body
+    string_bytes = len(body) * (_WIDE_CHAR_BYTES if has_wide_strings else 1)
+    return (
+        text_bytes
+        + string_bytes
+        + body.count(b'{') * _DICT_BYTES
+        + body.count(b'[') * _LIST_BYTES
+        + body.count(b',') * _ELEMENT_BYTES
+        + body.count(b':') * _MEMBER_BYTES
+    )
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -11,12 +11,21 @@
 import prometheus_client
 
 from lentildeal._internal.network import bounded_reads
+from lentildeal._internal.network import shedding
 
 if typing.TYPE_CHECKING:
     from lentildeal._internal.network import http_server
+    from lentildeal._internal.network import memory_budget
 
+# Key of what the budget of memory knows of the connection.
+HOLDER_KEY = 'lentildeal.holder'
 # Key of the function that closes the connection after the response.
 CLOSE_KEY = 'lentildeal.close_connection'
+HEAD_END = b'\r\n\r\n'
+HEAD_TOO_SLOW = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Connection: close\r\nContent-Length: 0\r\n\r\n'
+)
 # Time for a part of a response, and its lowest rate. The slowest links carry a
 # hundred times as much; callers wait for less than this time.
 WRITE_TIMEOUT_S = 15.0
@@ -35,9 +44,15 @@
     client that reads a byte now and then would hold a response without end.
     """
 
-    def __init__(self, writer: typing.Any, connection: typing.Any) -> None:
+    def __init__(
+        self,
+        writer: typing.Any,
+        connection: typing.Any,
+        holder: typing.Optional[memory_budget.ClientHolder] = None,
+    ) -> None:
         self._writer = writer
         self._connection = connection
+        self._holder = holder
 
     @property
     def closed(self) -> bool:
@@ -82,6 +97,10 @@
     ) -> None:
         limit_s = WRITE_TIMEOUT_S + size_bytes / MIN_WRITE_BYTES_PER_S
         timeout = eventlet.Timeout(limit_s)
+        holder = self._holder
+        if holder is not None:
+            phase = holder.phase
+            holder.enter(shedding.Phase.ANSWER)
         try:
             write(*arguments)
         except eventlet.Timeout as expired:
@@ -97,6 +116,8 @@
             ) from expired
         finally:
             timeout.cancel()
+            if holder is not None:
+                holder.enter(phase)
 
 
 class Protocol(eventlet.wsgi.HttpProtocol):
@@ -111,17 +132,23 @@
     ) -> None:
         self._owner = owner
         self._is_counted = False
-        super().__init__(conn_state, server)
+        self._head_timeout: typing.Optional[eventlet.Timeout] = None
+        self._holder = owner.take_holder(conn_state[1])
+        try:
+            super().__init__(conn_state, server)
+        finally:
+            owner.budget.forget(self._holder)
 
     def setup(self) -> None:
         """Also bounds what a client may send, and the time it may take."""
         super().setup()
         self._owner.record_connection(self)
-        self.wfile = BoundedWriter(self.wfile, self.connection)
+        self.wfile = BoundedWriter(self.wfile, self.connection, self._holder)
         self.rfile = bounded_reads.BoundedReader.wrap(self.rfile)
 
     def _read_request_line(self):
         self.rfile.reset_line_count()
+        self._wait_for_head()
         line = super()._read_request_line()
         if line:
             self._owner.forget_connection(self)
@@ -129,16 +156,42 @@
             self._owner.record_request_start()
         return line
 
+    def _wait_for_head(self) -> None:
+        """Waits for the first byte, then limits the time for the head."""
+        with contextlib.suppress(ConnectionError):
+            head = self.rfile.peek(1)
+            self._holder.enter(shedding.Phase.HEAD)
+            if HEAD_END not in head:
+                self._head_timeout = eventlet.Timeout(
+                    self._owner.head_timeout_s
+                )
+
+    def _end_head(self) -> None:
+        if self._head_timeout is not None:
+            self._head_timeout.cancel()
+            self._head_timeout = None
+
     def finish(self) -> None:
-        """Also forgets the connection."""
+        """Also forgets the connection, and always frees its descriptor.
+
+        The base class leaves the reader open if the writer can't be flushed.
+        """
         self._owner.forget_connection(self)
-        super().finish()
+        try:
+            super().finish()
+        finally:
+            with contextlib.suppress(OSError, ValueError):
+                self.rfile.close()
+
+    def log_message(self, *_: typing.Any) -> None:
+        """Writes nothing; the base class writes a line for each bad head."""
 
     def get_environ(self) -> dict:
         """Also passes a function that closes the connection."""
         return {
             **super().get_environ(),
             CLOSE_KEY: self._close_after_response,
+            HOLDER_KEY: self._holder,
         }
 
     def _close_after_response(self) -> None:
@@ -157,6 +210,8 @@
                 return False
         finally:
             self.rfile.is_in_head = False
+            self._end_head()
+        self._holder.enter(shedding.Phase.HANDLER)
         lengths = self.headers.get_all('Content-Length', [])
         codings = self.headers.get_all('Transfer-Encoding', [])
         is_plain = all(
@@ -180,7 +235,17 @@
         """Serves one request; returns after the response was written."""
         try:
             super().handle_one_request()
+        except eventlet.Timeout as expired:
+            if expired is not self._head_timeout:
+                raise
+            self._owner.budget.record_shed('slow_head')
+            self.close_connection = 1
+            with contextlib.suppress(OSError):
+                self.wfile.write(HEAD_TOO_SLOW)
         finally:
+            self._end_head()
+            self._owner.budget.release(self._holder)
+            self._holder.enter(shedding.Phase.IDLE)
             if self._is_counted:
                 self._is_counted = False
                 self._owner.record_request_end()
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import http.client
 import json
 import re
@@ -16,10 +17,13 @@
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import outcomes
+from lentildeal._internal.network import bounded_json
 from lentildeal._internal.network import http_protocol
 from lentildeal._internal.network import listening
+from lentildeal._internal.network import memory_budget
 from lentildeal._internal.network import problems
 from lentildeal._internal.network import request_bodies
+from lentildeal._internal.network import shedding
 from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import decimals
@@ -31,8 +35,8 @@
 LISTEN_BACKLOG = 1024
 # Time for a complete body, in seconds. Callers of live calls wait for less.
 BODY_TIMEOUT_S = 20.0
-# Memory for all bodies that are being received; one of the largest size fits.
-MAX_INCOMPLETE_BODY_BYTES = 40 * 1024 * 1024
+# Memory for all bodies that are being received, without a setting.
+MAX_INCOMPLETE_BODY_BYTES = memory_budget.DEFAULT_BYTES
 # Time in which a client that has connected sends its first request.
 FIRST_REQUEST_S = 1.0
 STOP_POLL_S = 0.02
@@ -52,6 +56,7 @@
         socket: Connection of the client, None in tests without one.
         target: Path and query, unchanged.
         raw_headers: Names and values, unchanged.
+        reserve: Takes memory, in bytes, until the request ends.
     """
 
     method: str
@@ -63,6 +68,7 @@
     socket: typing.Any = None
     target: str = ''
     raw_headers: tuple[tuple[str, str], ...] = ()
+    reserve: typing.Optional[typing.Callable[[int], None]] = None
 
     def is_client_gone(self) -> bool:
         """Whether the client has closed the connection."""
@@ -83,7 +89,11 @@
 
         Raises:
             exceptions.BadRequestError: The body is not valid JSON.
+            exceptions.RequestTooLargeError: It never has enough memory.
+            exceptions.NotRunError: It has not enough memory at present.
         """
+        if self.reserve is not None:
+            self.reserve(bounded_json.estimate_bytes(self.body))
         try:
             return json.loads(self.body or b'null')
         except (ValueError, RecursionError) as error:
@@ -184,8 +194,11 @@
         settings: settings_module.Settings,
         router: Router,
         address: typing.Optional[str] = None,
+        budget: typing.Optional[memory_budget.MemoryBudget] = None,
     ) -> None:
         self._settings = settings
+        self.budget = budget or memory_budget.MemoryBudget(settings)
+        self._holders: dict[typing.Any, memory_budget.ClientHolder] = {}
         self._address = address or settings.http_address
         self._router = router
         self._in_flight = 0
@@ -194,15 +207,30 @@
         self._listener: typing.Optional[listening.Listener] = None
         # Accepted connections without a request, and when they were accepted.
         self._new_connections: dict[http_protocol.Protocol, float] = {}
-        self._body_budget = request_bodies.BodyBudget(
-            MAX_INCOMPLETE_BODY_BYTES
-        )
 
     @property
     def is_closing(self) -> bool:
         """Whether connections are closed after their next response."""
         return self._is_closing
 
+    @property
+    def head_timeout_s(self) -> float:
+        """Time for the head of a request from its first byte."""
+        return self._settings.limits.head_timeout_ms / 1000
+
+    def take_holder(
+        self, connection: typing.Any
+    ) -> memory_budget.ClientHolder:
+        """Returns what the budget knows of an accepted connection."""
+        return self._holders.pop(connection)
+
+    def _admit(self, connection: typing.Any) -> bool:
+        holder = self.budget.admit(connection)
+        if holder is None:
+            return False
+        self._holders[connection] = holder
+        return True
+
     @property
     def in_flight(self) -> int:
         """Requests that have begun and whose response is not complete.
@@ -214,7 +242,9 @@
     def start(self) -> None:
         """Starts listening and serves requests in a green thread."""
         self._listener = listening.Listener(
-            listening.listen(self._address, LISTEN_BACKLOG)
+            listening.listen(self._address, LISTEN_BACKLOG),
+            self._admit,
+            lambda: self.budget.record_shed('descriptors'),
         )
         eventlet.spawn_n(
             eventlet.wsgi.server,
@@ -288,6 +318,9 @@
         headers = dict(response.headers)
         body = response.body
         if isinstance(body, bytes):
+            self.budget.charge_answer(
+                environ[http_protocol.HOLDER_KEY], len(body)
+            )
             headers['Content-Length'] = str(len(body))
             body = [body]
         status = (
@@ -329,8 +362,8 @@
             ),
         )
         try:
-            with timeout, self._body_budget.reader() as reader:
-                body = self._read_body_parts(environ, reader)
+            with timeout:
+                body = self._read_body_parts(environ)
             is_complete = True
             return body
         finally:
@@ -340,12 +373,10 @@
                 # it reuses the connection.
                 environ[http_protocol.CLOSE_KEY]()
 
-    def _read_body_parts(
-        self, environ, reader: request_bodies.BodyReader
-    ) -> bytes:
+    def _read_body_parts(self, environ) -> bytes:
         limit = self._settings.limits.request_bytes
         if 'chunked' in environ.get('HTTP_TRANSFER_ENCODING', '').lower():
-            return self._read_chunked_body(environ, reader, limit)
+            return self._read_chunked_body(environ, limit)
         field = environ.get('CONTENT_LENGTH') or '0'
         length = decimals.read_decimal(field)
         if length is None:
@@ -356,18 +387,27 @@
             raise exceptions.RequestTooLargeError(
                 f'the body has {length} bytes; the limit is {limit}'
             )
-        body = reader.read(environ['wsgi.input'], length)
+        body = self._receive(environ, length)
         if len(body) < length:
             raise exceptions.BadRequestError(
                 f'incomplete body: {len(body)} of {length} bytes'
             )
         return body
 
-    def _read_chunked_body(
-        self, environ, reader: request_bodies.BodyReader, limit: int
-    ) -> bytes:
+    def _receive(self, environ, size_bytes: int) -> bytes:
+        holder = environ[http_protocol.HOLDER_KEY]
+        holder.enter(shedding.Phase.BODY)
+        body = request_bodies.read_body(
+            environ['wsgi.input'], size_bytes, self.budget, holder
+        )
+        holder.enter(shedding.Phase.HANDLER)
+        if not self.budget.has_limit:
+            self.budget.release(holder)
+        return body
+
+    def _read_chunked_body(self, environ, limit: int) -> bytes:
         try:
-            body = reader.read(environ['wsgi.input'], limit + 1)
+            body = self._receive(environ, limit + 1)
         except (OSError, ValueError, http.client.HTTPException) as error:
             raise exceptions.BadRequestError(
                 f'incomplete chunked body: {error}'
@@ -397,6 +437,16 @@
             socket=environ['eventlet.input'].get_socket(),
             target=_read_target(environ),
             raw_headers=environ['headers_raw'],
+            reserve=self._make_reserve(environ),
+        )
+
+    def _make_reserve(
+        self, environ
+    ) -> typing.Optional[typing.Callable[[int], None]]:
+        if not self.budget.has_limit:
+            return None
+        return functools.partial(
+            self.budget.reserve, environ[http_protocol.HOLDER_KEY]
         )
 
 
--- a/src/lentildeal/_internal/network/listening.py
+++ b/src/lentildeal/_internal/network/listening.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import ctypes
+import errno
 import struct
 import typing
 
@@ -32,6 +33,9 @@
         (0x06, 0, 0, 0xFFFFFFFF),  # pass
     )
 )
+# The process or the system has no descriptor or no memory for a socket.
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+EXHAUSTED_PAUSE_S = 0.05
 # Time for handshakes that have begun; round trips take up to 3 ms.
 HANDSHAKE_S = 0.03
 
@@ -66,8 +70,22 @@
     without a request, also those whose first request is on its way.
     """
 
-    def __init__(self, listening_socket: typing.Any) -> None:
+    def __init__(
+        self,
+        listening_socket: typing.Any,
+        admit: typing.Callable[[typing.Any], bool] = lambda _: True,
+        report_exhausted: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Wraps a socket.
+
+        Args:
+            listening_socket: Socket that listens.
+            admit: Whether to keep a new connection; others are closed.
+            report_exhausted: Called when no descriptor is left.
+        """
         self._socket = listening_socket
+        self._admit = admit
+        self._report_exhausted = report_exhausted
         self._is_stopped = False
         self._never = eventlet.event.Event()
 
@@ -78,10 +96,20 @@
         """Accepts a connection; never returns after ``stop``."""
         while not self._is_stopped:
             try:
-                return self._socket.accept()
-            except OSError:
-                if not self._is_stopped:
+                connection, address = self._socket.accept()
+            except OSError as error:
+                if self._is_stopped:
+                    break
+                # The server of eventlet would end for good.
+                if error.errno in _EXHAUSTED:
+                    self._report_exhausted()
+                    eventlet.sleep(EXHAUSTED_PAUSE_S)
+                elif error.errno != errno.ECONNABORTED:
                     raise
+                continue
+            if self._admit(connection):
+                return connection, address
+            connection.close()
         return self._never.wait()
 
     def stop(self) -> None:
--- a/src/lentildeal/_internal/reports/readiness.py
+++ b/src/lentildeal/_internal/reports/readiness.py
@@ -42,7 +42,12 @@
         self.router.add('GET', METRICS_PATH, self._get_metrics)
         for address in (settings.ready_address, settings.metrics_address):
             if address is not None:
-                http_server.HttpServer(settings, self.router, address).start()
+                http_server.HttpServer(
+                    settings,
+                    self.router,
+                    address,
+                    self._kernel.http_server.budget,
+                ).start()
 
     def handle_check(
         self, _request: http_server.Request
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -96,6 +96,11 @@
     connections: int = options.option(
         'Most concurrent connections of callers.', 10_000, minimum=1
     )
+    head_timeout_ms: int = options.option(
+        'Time for the head of a request from its first byte, in milliseconds.',
+        4000,
+        minimum=100,
+    )
     queue_length: int = options.option(
         'Most queued requests for one replica.', 1000, minimum=1
     )
--- a/tests/unit/network/test_parsers.py
+++ b/tests/unit/network/test_parsers.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import types
 
 import eventlet
 from eventlet.green import socket
@@ -14,6 +13,7 @@
 from lentildeal._internal.network import sse
 from lentildeal._internal.network import target_connections
 from lentildeal._internal.network import wire
+from lentildeal._internal.settings import settings as settings_module
 from tests.lib import byte_strategies
 from tests.lib import raw_server
 
@@ -155,9 +155,11 @@
     with contextlib.closing(socket.socket()) as probe:
         probe.bind(('127.0.0.1', 0))
         port = probe.getsockname()[1]
-    settings = types.SimpleNamespace(
-        limits=types.SimpleNamespace(request_bytes=1000, connections=100),
+    settings = settings_module.Settings(
+        instance='n0',
+        failure_domain='d1',
         http_address=f'127.0.0.1:{port}',
+        limits=settings_module.Limits(request_bytes=1024, connections=100),
     )
     http_server.HttpServer(settings, router).start()
     return port
