--- a/src/lentildeal/_internal/network/bounded_json.py
+++ b/src/lentildeal/_internal/network/bounded_json.py
@@ -15,6 +15,10 @@
 _MEMBER_BYTES = 64
 # Characters of a text with any character beyond Latin-1 take up to 4 bytes.
 _WIDE_CHAR_BYTES = 4
+# A string with escapes is assembled from its parts.
+_ESCAPED_FACTOR = 2
+# Parts of the decoder, and of the objects of a small document.
+_FIXED_BYTES = 8 * 1024
 # Nesting is bounded by the decoder, which raises RecursionError.
 
 
@@ -24,8 +28,11 @@
     text_bytes = len(body) * (_WIDE_CHAR_BYTES if is_wide else 1)
     has_wide_strings = is_wide or b'\\u' in body
     string_bytes = len(body) * (_WIDE_CHAR_BYTES if has_wide_strings else 1)
+    if b'\\' in body:
+        string_bytes *= _ESCAPED_FACTOR
     return (
-        text_bytes
+        _FIXED_BYTES
+        + text_bytes
         + string_bytes
         + body.count(b'{') * _DICT_BYTES
         + body.count(b'[') * _LIST_BYTES
