Estimate JSON by searches where structural characters are rare

Counting looked at each byte: 2.9 ms for a job of 944 KB whose decoding takes 1.0 ms (shared machine).

--- a/src/lentildeal/_internal/network/bounded_json.py
+++ b/src/lentildeal/_internal/network/bounded_json.py
@@ -19,6 +19,9 @@
 _ESCAPED_FACTOR = 2
 # Parts of the decoder, and of the objects of a small document.
 _FIXED_BYTES = 8 * 1024
+# Bytes for each occurrence from which a search is faster than a count, which
+# looks at each byte. In jobs most bytes are those of long strings.
+_SPARSE_BYTES = 500
 # Nesting is bounded by the decoder, which raises RecursionError.
 
 
@@ -26,16 +29,27 @@
     """Estimates the memory that decoding takes, without the body itself."""
     is_wide = not body.isascii()
     text_bytes = len(body) * (_WIDE_CHAR_BYTES if is_wide else 1)
-    has_wide_strings = is_wide or b'\\u' in body
+    has_escapes = b'\\' in body
+    has_wide_strings = is_wide or (has_escapes and b'\\u' in body)
     string_bytes = len(body) * (_WIDE_CHAR_BYTES if has_wide_strings else 1)
-    if b'\\' in body:
+    if has_escapes:
         string_bytes *= _ESCAPED_FACTOR
     return (
         _FIXED_BYTES
         + text_bytes
         + string_bytes
-        + body.count(b'{') * _DICT_BYTES
-        + body.count(b'[') * _LIST_BYTES
-        + body.count(b',') * _ELEMENT_BYTES
-        + body.count(b':') * _MEMBER_BYTES
+        + _count(body, b'{') * _DICT_BYTES
+        + _count(body, b'[') * _LIST_BYTES
+        + _count(body, b',') * _ELEMENT_BYTES
+        + _count(body, b':') * _MEMBER_BYTES
     )
+
+
+def _count(body: bytes, character: bytes) -> int:
+    """Counts a character; fast where it is rare."""
+    position = -1
+    for count in range(len(body) // _SPARSE_BYTES):
+        position = body.find(character, position + 1)
+        if position < 0:
+            return count
+    return body.count(character)
