--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -97,6 +97,11 @@
     connections: int = options.option(
         'Most concurrent connections of callers.', 10_000, minimum=1
     )
+    head_timeout_ms: int = options.option(
+        'Time for the head of a request from its first byte, in milliseconds.',
+        4000,
+        minimum=100,
+    )
     queue_length: int = options.option(
         'Most queued requests for one replica.', 1000, minimum=1
     )
@@ -212,6 +217,19 @@
         1.0,
         minimum=0.01,
     )
+    memory_mb: typing.Optional[int] = options.option(
+        'Memory of the instance, in megabytes. Load is shed so that the daemon'
+        ' stays below it; without it, only bodies in receipt are bounded.',
+        None,
+        minimum=64,
+    )
+    descriptors: typing.Optional[int] = options.option(
+        'File descriptors that the daemon may open. Idle connections are'
+        ' closed before it has none left; without it, only "connections"'
+        ' bounds them.',
+        None,
+        minimum=128,
+    )
 
     @property
     def cores(self) -> float:
