--- a/src/lentildeal/_internal/models/outcomes.py
+++ b/src/lentildeal/_internal/models/outcomes.py
@@ -21,6 +21,7 @@
 class Cause(str, enum.Enum):
     """Why a request waits, is refused or misses its deadline."""
 
+    ACCOUNT_SHARE = 'account_share'
     CLUB_SHARE = 'club_share'
     TARGET_FULL = 'target_full'
     TARGET_DOWN = 'target_down'
