Let live calls wait for admission where the text has accounts

The gateway sent each live call at once. It now asks the admission of the service before the first attempt, and again after a replica had no room while nothing may have run.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -12,6 +12,7 @@
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
+from lentildeal._internal.gateway import admission
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import choice
 from lentildeal._internal.gateway import streams
@@ -70,6 +71,11 @@
         """Whether there is a response that is not a server error."""
         return self.response is not None and self.response.status < 500
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the replica had no room for the call."""
+        return self.is_not_run and self.reason == 'status 503'
+
 
 @plugins.register('gateway', after=('directory', 'replica_limits'))
 class Gateway(plugins.Plugin):
@@ -81,6 +87,7 @@
         self._connections = target_connections.TargetConnections()
         self._limits = kernel.plugin('replica_limits')
         self._health = health.HealthTracker()
+        self.admission = admission.CallAdmission(kernel)
         self._running: dict[ids.ReplicaId, int] = {}
         self._loads: dict[
             ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
@@ -232,7 +239,14 @@
         finally:
             self._running[replica_id] -= 1
             self._health.record_end(replica.address)
-        self._record_health(result, clock.monotonic_s() - started_s)
+        elapsed_s = clock.monotonic_s() - started_s
+        self._record_health(result, elapsed_s)
+        self.admission.record_attempt(
+            replica,
+            result.load,
+            elapsed_s if result.is_success else None,
+            result.is_full,
+        )
         return result
 
     def _send_in_time(
@@ -412,6 +426,7 @@
         self._has_crashed = False
         # Attempts that found no turn at their replica.
         self._unsent = 0
+        self._ticket: typing.Optional[admission.Ticket] = None
         self._failed_response: typing.Optional[calls.LiveResponse] = None
         self.tried: list[ids.ReplicaId] = []
         self.answered_by: typing.Optional[ids.ReplicaId] = None
@@ -428,6 +443,9 @@
             exceptions.NotRunError: No replica ran it.
             exceptions.MayHaveRunError: One may have run it.
         """
+        self._ticket = self._gateway.admission.enter(
+            self._service, self._call, self.limit_s
+        )
         try:
             self._start_attempt()
             hedge_s = choice.get_hedge_delay_s(self._route.objective_s)
@@ -447,6 +465,7 @@
         finally:
             for thread in self._threads:
                 thread.kill()
+            self._gateway.admission.leave(self._ticket)
         if self._failed_response is not None:
             return self._failed_response
         raise self._make_error()
@@ -454,9 +473,11 @@
     def _is_finished(self) -> bool:
         return self._deadline.has_passed or self._call.is_client_gone()
 
+    def _may_try_again(self) -> bool:
+        return len(self.tried) - self._unsent < self._route.max_attempts
+
     def _start_attempt(self) -> None:
-        attempts = len(self.tried) - self._unsent
-        if attempts >= self._route.max_attempts or self._is_finished():
+        if not self._may_try_again() or self._is_finished():
             return
         if self._has_crashed:
             # The call could take down the other replicas one by one.
@@ -495,9 +516,16 @@
         if not result.is_not_run:
             self._may_have_run = True
             self._failed_response = result.response or self._failed_response
+        if self._ticket is not None and self._is_only_refused(result):
+            self._gateway.admission.enter_again(self._service, self._ticket)
         if result.is_not_run or self._is_safe:
             self._start_attempt()
 
+    def _is_only_refused(self, result: AttemptResult) -> bool:
+        """Whether the call may wait as if it had just arrived."""
+        has_begun = self._running or self._may_have_run
+        return result.is_full and not has_begun and self._may_try_again()
+
     def _make_error(self) -> exceptions.LentildealError:
         if self._may_have_run or self._running:
             return exceptions.MayHaveRunError(
@@ -513,5 +541,7 @@
         return exceptions.NotRunError(
             f'no replica of {self._service} accepted the call',
             cause='no_replica',
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=self._gateway.admission.find_retry_after_s(
+                self._ticket, RETRY_AFTER_S
+            ),
         )
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -265,6 +265,18 @@
     elapsed_ms='Time since the request was read, in milliseconds.',
     text_version='Version of the published text in effect.',
 )
+define(
+    'call_refused',
+    'Admission refused a live call, of which nothing was sent.',
+    request='Request id.',
+    service='Service.',
+    account='Account of the caller, empty without one.',
+    priority='Rank of the call, 0 is the highest.',
+    cause='"deadline" if it could not end in time, "account_share" if only the'
+    ' waiting calls of its own account were in its way.',
+    waiting='Calls that wait for this service at this daemon.',
+    retry_after_ms='Time after which it may have a place, in milliseconds.',
+)
 define(
     'attempt_failed',
     'An attempt at a replica failed.',
--- a/src/lentildeal/_internal/routing/admission.py
+++ b/src/lentildeal/_internal/routing/admission.py
@@ -176,6 +176,11 @@
         self._shares.record_returned(request.call)
         return self._decide(request)
 
+    def find_retry_after_s(self, request: Request) -> float:
+        """Time after which the client of a call that didn't run returns."""
+        wait_s = self._estimate_wait_s(request.call)
+        return self._plan_return_s(request, wait_s)
+
     def _decide(self, request: Request) -> Decision:
         call = request.call
         if not self._waiting and not self._find_wait_s(call, False):
