Read the file of a job in the platform's folder

Cause: lentildeal route explain read fields of the platform's submissions outside of platform/, which test_platform_names found.

Result: test_platform_names passes again.

--- a/src/lentildeal/_internal/commands/route_explain.py
+++ b/src/lentildeal/_internal/commands/route_explain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 import pathlib
 import typing
 import urllib.parse
@@ -12,6 +11,8 @@
 
 from lentildeal._internal.cli import base
 from lentildeal._internal.cli import status_codes
+from lentildeal._internal import exceptions
+from lentildeal._internal.platform import job_files
 
 PATH = '/v1/route/explain'
 
@@ -78,17 +79,16 @@
         base.UsageError: The file is not the submission of a job.
     """
     try:
-        document = json.loads(base.read_text(path))
-        return {
-            'model': str(document['Model']),
-            'min_version': str(int(document['MinVersion'])),
-            'items': str(len(document['Entries'])),
-        }
-    except (ValueError, KeyError, TypeError) as error:
+        summary = job_files.read_summary(base.read_text(path))
+    except exceptions.BadRequestError as error:
         raise base.UsageError(
-            f'{path}: not the submission of a job: {error!r:.100}',
-            remedy='give the body of the request that submits it',
+            f'{path}: {error.message}', remedy=error.remedy
         ) from error
+    return {
+        'model': summary.model,
+        'min_version': str(summary.min_version),
+        'items': str(summary.item_count),
+    }
 
 
 def format_lines(document: dict[str, typing.Any]) -> list[str]:
