Report refusals of keys by cause

Cause: nothing showed how many requests were refused because of their key.

Change: lentildeal_unauthenticated_total counts them by cause; the event requests_unauthenticated reports each cause at most once a second.

--- a/src/lentildeal/_internal/accounts/plugin.py
+++ b/src/lentildeal/_internal/accounts/plugin.py
@@ -5,12 +5,16 @@
 import dataclasses
 import typing
 
+import prometheus_client
+
 from lentildeal._internal.accounts import authentication
 from lentildeal._internal.accounts import job_access
 from lentildeal._internal.accounts import keyring
+from lentildeal._internal.accounts import refusals
 from lentildeal._internal.directory import text_reads
 from lentildeal._internal import exceptions
 from lentildeal._internal.kernel import plugins
+from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
@@ -19,6 +23,12 @@
 # Delay before a retry at this or another daemon, in seconds.
 RETRY_AFTER_S = 0.2
 
+_refusals_total = prometheus_client.Counter(
+    'lentildeal_unauthenticated_total',
+    'Requests refused because of their key, by cause.',
+    ['cause'],
+)
+
 
 @plugins.register('accounts', after=('directory',))
 class Accounts(plugins.Plugin):
@@ -27,6 +37,7 @@
     def __init__(self, kernel) -> None:
         super().__init__(kernel)
         self._directory = kernel.plugin('directory')
+        self._refusals = refusals.RefusalCounter()
         self._keyring = keyring.Keyring({})
         self._keyring_text: typing.Optional[deployment.PublishedText] = None
 
@@ -54,6 +65,7 @@
             may_wait = not deadline.has_passed
             decision = self._decide(keys, is_public, arrived_s, may_wait)
         if decision.verdict is not authentication.Verdict.ADMIT:
+            self._record_refusal(decision.cause)
             raise _make_error(decision)
         return decision
 
@@ -113,6 +125,18 @@
 
         return may_see
 
+    def _record_refusal(self, cause: authentication.Cause) -> None:
+        _refusals_total.labels(cause.value).inc()
+        count = self._refusals.record(cause)
+        if count:
+            text = self._directory.text
+            events.emit(
+                'requests_unauthenticated',
+                cause=cause.value,
+                count=count,
+                text_version=None if text is None else text.version,
+            )
+
     def _find_keyring(
         self, text: typing.Optional[deployment.PublishedText]
     ) -> keyring.Keyring:
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -201,6 +201,15 @@
     'The newest published text could not be read; the read is repeated.',
     reason='Error.',
 )
+define(
+    'requests_unauthenticated',
+    'Requests were refused because of their key, at most one line a second for'
+    ' each cause. Keys are never logged.',
+    cause='missing_key, unknown_key, repeated_key (401); no_text, stale_text'
+    ' (503).',
+    count='Requests since the last line with this cause.',
+    text_version='Version of the text in effect, empty without one.',
+)
 define(
     'version_named',
     'A trainer announced a version.',
