Check holders and usage reports in the soak

Cause: holders were killed and frozen in tests of one fault at a time only.

Counts are not compared with what replicas ran: the soak has no accounts yet.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,8 @@
 # Time limit for all work to complete after the last fault.
 SETTLE_S = 60.0
 MAX_FAULT_S = 4.0
+# Share of the turns in which a call of a holder is disrupted.
+DUTY_FAULT_SHARE = 0.3
 REQUEST_LIMITS = (1.0, 2.0, 5.0)
 # The smallest instances have this memory for a daemon.
 MAX_DAEMON_MB = 136.0
@@ -37,6 +39,9 @@
         self._rng = random.Random(seed)
         self._until_s = time.monotonic() + options.seconds
         self.world = platform_world.World(launcher, daemons=0, engines=0)
+        self._platform = launcher.start_stand_in('platform.duties')
+        # Of its own, so that the other faults of a kept seed stay the same.
+        self._duty_rng = random.Random(f'{seed}/duties')
         self._store_proxies = []
         self.daemons: list = []
         self._replica_proxies = []
@@ -84,6 +89,7 @@
         pending_reverts: list[tuple[float, typing.Callable[[], None]]] = []
         while time.monotonic() < self._until_s:
             time.sleep(self._rng.uniform(0.1, 1.0))
+            self._inject_duty_fault()
             revert = self._rng.choice(self._faults)()
             if revert is not None:
                 duration_s = self._rng.uniform(0.3, MAX_FAULT_S)
@@ -104,6 +110,7 @@
             checker.check_limit(
                 limit, self._disrupted.get(limit.replica.name, ())
             )
+        checker.check_reports(self._read_reports())
         for daemon in self.daemons:
             checker.check_memory(daemon.name, daemon.pid, MAX_DAEMON_MB)
         print(
@@ -117,6 +124,10 @@
         for item in (*self._store_proxies, *self._replica_proxies):
             item.close()
 
+    def _read_reports(self) -> list[dict]:
+        calls = self._platform.read_journal()['calls']
+        return [call for call in calls if call['path'] == '/usage']
+
     def _read_runs(self) -> list[dict]:
         servers = [*self.world.engines, self.world.plain]
         return [run for s in servers for run in s.read_journal()['runs']]
@@ -150,7 +161,16 @@
     ):
         return self._launcher.add(
             platform_world.StoreDaemon(
-                instance, fault_proxy.address, self._launcher.directory, port
+                instance,
+                fault_proxy.address,
+                self._launcher.directory,
+                port,
+                store={'requires_fence': False},
+                duties={
+                    'address': self._platform.address,
+                    'kinds': ['usage_report'],
+                    'window_s': 1.0,
+                },
             )
         )
 
@@ -221,6 +241,11 @@
             **{self._rng.choice(names): self._rng.randint(1, 6)}
         )
 
+    def _inject_duty_fault(self) -> None:
+        names = ('lose_answers', 'throttle', 'late_calls')
+        if self._duty_rng.random() < DUTY_FAULT_SHARE:
+            self._platform.set_faults(**{self._duty_rng.choice(names): 1})
+
     def _inject_engine_fault(self) -> None:
         engine = self._rng.choice([*self.world.engines, self.world.plain])
         names = ('cut', 'foreign', 'full', 'lose')
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from soak import duties
 from tests.lib import platform_world
 
 
@@ -138,6 +139,14 @@
                 f' its limit of {limit.rate} a second'
             )
 
+    def check_reports(self, calls: list[dict]) -> None:
+        """Checks the usage reports that the platform got."""
+        if not calls:
+            self._add_violation('no window was reported')
+            return
+        for text in duties.find_report_violations(calls):
+            self._add_violation(text)
+
     def check_memory(self, name: str, pid: int, limit_mb: float) -> None:
         """Checks the peak memory of a daemon."""
         with open(f'/proc/{pid}/status') as status:
--- a/tests/functional/test_duties.py
+++ b/tests/functional/test_duties.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from soak import duties
 from tests.lib import platform_world
 from tests.lib import processes
 
@@ -80,27 +81,6 @@
         yield DutyWorld(launcher)
 
 
-def check_rules(reports):
-    """Checks the rules for holders and reports of the whole journal."""
-    counts = {}
-    for call in reports:
-        window = call['body']['WindowId']
-        known = counts.setdefault(window, call['body']['Counts'])
-        assert known == call['body']['Counts'], f'{window} has changed'
-    tokens = [call['token'] for call in reports]
-    assert tokens == sorted(tokens)
-    last_seen_s = {}
-    previous = None
-    for call in reports:
-        if previous not in (None, call['holder']):
-            last_s = last_seen_s.get(call['holder'])
-            assert last_s is None or call['at_s'] - last_s >= 3.0
-        last_seen_s[call['holder']] = call['at_s']
-        previous = call['holder']
-    windows = sorted(counts)
-    assert windows == list(range(windows[0], windows[0] + len(windows)))
-
-
 def wait_for_reports_of_another(world, holder):
     processes.wait_for(
         lambda: world.list_reports()[-1]['holder'] != holder.name,
@@ -115,7 +95,7 @@
     processes.wait_for(lambda: len(world.list_reports()) > 4, 'reports')
     reports = world.list_reports()
     assert len({call['holder'] for call in reports}) == 1
-    check_rules(reports)
+    assert not duties.find_report_violations(reports)
     windows = [call['body']['WindowId'] for call in reports]
     assert len(windows) == len(set(windows))
 
@@ -140,7 +120,7 @@
     holder.kill()
     world.platform.set_faults(delay_ms=0, lose_answers=0)
     wait_for_reports_of_another(world, holder)
-    check_rules(world.list_reports())
+    assert not duties.find_report_violations(world.list_reports())
 
 
 def test_holder_frozen_over_a_hand_over(world):
@@ -151,7 +131,7 @@
         stack.callback(holder.signal, signal.SIGCONT)
         wait_for_reports_of_another(world, holder)
     time.sleep(3.0)
-    check_rules(world.list_reports())
+    assert not duties.find_report_violations(world.list_reports())
     assert world.list_reports()[-1]['holder'] != holder.name
 
 
