--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 import typing
 
@@ -20,8 +19,6 @@
 # bounds reads of attempts that the runner no longer tracks.
 SOCKET_TIMEOUT_S = 20.0
 UNPROCESSABLE_STATUS = 422
-# Events that the recent pace is measured over.
-RECENT_EVENTS = 8
 
 
 class AttemptOutcome(str, enum.Enum):
@@ -70,9 +67,6 @@
         self._last_event_id = progress.last_event_id
         self._versions = set(progress.versions)
         self._version: typing.Optional[ids.Version] = None
-        self._recent_s: collections.deque[float] = collections.deque(
-            maxlen=RECENT_EVENTS + 1
-        )
 
     @property
     def progress(self) -> jobs.Progress:
@@ -100,14 +94,6 @@
             self.run_events - 1
         )
 
-    @property
-    def recent_pace_s(self) -> typing.Optional[float]:
-        """Seconds per event of the last events, None before two events."""
-        if len(self._recent_s) < 2:
-            return None
-        elapsed_s = self._recent_s[-1] - self._recent_s[0]
-        return elapsed_s / (len(self._recent_s) - 1)
-
     def run(
         self,
         host: str,
@@ -223,7 +209,6 @@
         if self.first_event_s is None:
             self.first_event_s = now_s
         self.last_received_s = now_s
-        self._recent_s.append(now_s)
         self.run_events += 1
         self._events.append(event.data)
         self._last_event_id = event.event_id
--- a/src/lentildeal/_internal/jobs/pace.py
+++ b/src/lentildeal/_internal/jobs/pace.py
@@ -5,10 +5,7 @@
 import statistics
 import typing
 
-from lentildeal._internal.adapters import platform_base
-from lentildeal._internal.jobs import attempts
 from lentildeal._internal.models import ids
-from lentildeal._internal.routing import finish_times
 from lentildeal._internal.utils import clock
 
 # Weight of a new measurement in the moving average; a replica that becomes
@@ -72,38 +69,3 @@
         if pace is None or median is None:
             return False
         return pace > SLOW_FACTOR * median
-
-
-class SpeedTracker:
-    """Work factors that replicas report with the answers to attempts."""
-
-    def __init__(
-        self, now: typing.Callable[[], float] = clock.monotonic_s
-    ) -> None:
-        self._reports = finish_times.LoadReports(now)
-        self._reporting: set[ids.ReplicaId] = set()
-
-    def record(
-        self, replica_id: ids.ReplicaId, load: platform_base.ReplicaLoad
-    ) -> None:
-        """Records a report."""
-        if load.work_factor is not None:
-            self._reporting.add(replica_id)
-        self._reports.record(replica_id, load, 0)
-
-    def work_factor(self, replica_id: ids.ReplicaId) -> typing.Optional[float]:
-        """Work factor of a replica, None if it is unknown or outdated."""
-        return self._reports.work_factor(replica_id)
-
-    def get_run_pace_s(
-        self, attempt: attempts.Attempt
-    ) -> typing.Optional[float]:
-        """Seconds per event of an attempt, None if unknown.
-
-        Replicas that report their speed change it during an attempt, so that
-        their last events count. A mean over the whole attempt shows a replica
-        at a third of its speed only after as many events as came before.
-        """
-        if attempt.replica.replica_id in self._reporting:
-            return attempt.recent_pace_s
-        return attempt.pace_s
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -25,6 +25,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 from lentildeal._internal.network import target_connections
+from lentildeal._internal.routing import finish_times
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import wakeup
 
@@ -74,7 +75,7 @@
         self._connections = target_connections.TargetConnections()
         self._jobs: dict[ids.JobId, open_jobs.OpenJob] = {}
         self._pace_tracker = pace.PaceTracker()
-        self._speed_tracker = pace.SpeedTracker()
+        self._reports = finish_times.LoadReports()
         self._replica_tracker = tasks.ReplicaTracker()
         self._wakeup = wakeup.Wakeup()
         self._recorder = recording.ItemRecorder(self._log)
@@ -278,7 +279,7 @@
             self._replica_tracker.is_avoided(replica_id),
             self._replica_tracker.failure_rate(replica_id),
             self._replica_tracker.is_on_trial(replica_id),
-            self._speed_tracker.work_factor(replica_id),
+            self._reports.work_factor(replica_id),
         )
 
     def _count_free(self, replica: deployment.Replica) -> int:
@@ -316,7 +317,7 @@
     def _find_faster_replica(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
     ) -> typing.Optional[scheduling.Candidate]:
-        pace_s = self._speed_tracker.get_run_pace_s(attempt)
+        pace_s = attempt.pace_s
         if pace_s is None or attempt.run_events < scheduling.MIN_PACE_EVENTS:
             return None
         self._pace_tracker.record(attempt.replica.replica_id, pace_s)
@@ -442,7 +443,7 @@
             self._replica_tracker.record_load(
                 replica_id, info.load.running + info.load.waiting
             )
-            self._speed_tracker.record(replica_id, info.load)
+            self._reports.record(replica_id, info.load, 0)
         self._limits.record_answer(replica_id, info)
 
     def _run_attempt(
