Read the load of a replica from any answer to a status check

Cause: the check before an extra copy needed a complete report; a replica without models may have none, and would never have got a copy. Change: get_load reads the header of the answer whatever its status, except that of another replica at the address. Broken to see the test fail: answers of another replica are taken.

--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -106,14 +106,12 @@
         is_busy: Whether an order is being carried out.
         order_count: Orders accepted since the replica started.
         is_leaving: Whether the replica will leave and wants no more requests.
-        load: Load of the replica, None if not reported.
     """
 
     versions: dict[ids.ModelName, ids.Version]
     is_busy: bool
     order_count: int
     is_leaving: bool = False
-    load: typing.Optional[ReplicaLoad] = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -233,6 +231,16 @@
             exceptions.PlatformError: The replica did not respond.
         """
 
+    @abc.abstractmethod
+    def get_load(
+        self, replica: deployment.Replica
+    ) -> typing.Optional[ReplicaLoad]:
+        """Asks a replica for its load, None if it does not report it.
+
+        Raises:
+            exceptions.PlatformError: The replica did not respond.
+        """
+
     def report_usage(self, report: UsageReport, duty: DutyTerm) -> DutyOutcome:
         """Reports the use of a window; called by the holder of the duty only.
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -258,7 +258,7 @@
         (estimate,) = self._estimate([replica])
         if estimate.weight <= 0.0:
             try:
-                load = self._directory.platform.get_report(replica).load
+                load = self._directory.platform.get_load(replica)
             except exceptions.PlatformError:
                 return False
             if load is not None:
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -127,13 +127,25 @@
                 # Counts accepted orders; it is not the position of an entry.
                 decimals.require_int(report['Sequence']),
                 _is_leaving(response.status, response.headers),
-                _read_load(response.headers.get(names.REPLICA_LOAD.lower())),
             )
         except documents.DECODE_ERRORS as error:
             raise exceptions.UnreadableRecordError(
                 f'invalid report of {replica.replica_id}: {error!r:.200}'
             ) from error
 
+    def get_load(
+        self, replica: deployment.Replica
+    ) -> typing.Optional[platform_base.ReplicaLoad]:
+        """See the base class."""
+        # A replica without models may have no report; the header is on all
+        # its answers.
+        response = self._call(replica, 'GET', names.REPORT_PATH)
+        if response.status == MISDIRECTED_STATUS:
+            raise exceptions.PlatformError(
+                f'another replica answers at {replica.address}'
+            )
+        return _read_load(response.headers.get(names.REPLICA_LOAD.lower()))
+
     def order_version(
         self, replica: deployment.Replica, order: platform_base.VersionOrder
     ) -> platform_base.OrderOutcome:
--- a/tests/unit/platform/test_adapter.py
+++ b/tests/unit/platform/test_adapter.py
@@ -122,3 +122,21 @@
     """Guards against requests to a replica that has said it will leave."""
     info = platform.read_response(status, {'server-leaving': value})
     assert info.is_leaving == is_leaving
+
+
+def test_load_is_read_from_an_answer_without_a_report(platform):
+    """Guards against replicas without models that never get an extra copy."""
+    header = 'Lentildeal-Replica-Load: 2,1,6,150\r\n'
+    heads = [f'404 No\r\n{header}', '404 No\r\n', f'421 No\r\n{header}']
+
+    def make_script(_request):
+        head = f'HTTP/1.1 {heads.pop(0)}'
+        return (f'{head}Content-Length: 0\r\n\r\n'.encode(),)
+
+    with contextlib.closing(raw_server.RawServer(make_script)) as server:
+        replica = job_builders.make_replica(address=server.address)
+        load = platform_base.ReplicaLoad(2, 1, 6, 1.5)
+        assert platform.get_load(replica) == load
+        assert platform.get_load(replica) is None
+        with pytest.raises(exceptions.PlatformError, match='another replica'):
+            platform.get_load(replica)
