Bound bodies in progress at a replica and streams that nobody reads

A replica gets at most limits.replica_bytes (32 MiB) of bodies of live calls from one daemon at a time; one with none gets any body. Other daemons' bodies are not known, so each daemon keeps to the bound for itself. A stream whose caller takes no chunk for 5 s is ended at its replica. Bodies are sent from a view: eventlet's sendall copied the rest of the body for each part.

Broken on a copy, seen to fail: no check for room, bodies not counted, no limit on an unread chunk, a single large body not placed.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -21,6 +21,7 @@
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import target_connections
 from lentildeal._internal.routing import health
+from lentildeal._internal.routing import replica_bytes
 from lentildeal._internal.utils import clock
 
 # Interval of the checks for a client disconnect. Attempts must end within
@@ -81,6 +82,9 @@
         self._connections = target_connections.TargetConnections()
         self._limits = kernel.plugin('replica_limits')
         self._health = health.HealthTracker()
+        self._bytes = replica_bytes.ReplicaBytes(
+            kernel.settings.limits.replica_bytes
+        )
         self._running: dict[ids.ReplicaId, int] = {}
         self._loads: dict[
             ids.ReplicaId, tuple[platform_base.ReplicaLoad, float]
@@ -194,7 +198,15 @@
         """Sends a call to one replica and reads its response."""
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
-        if self._limits.acquire(replica_id, MAX_TURN_WAIT_S):
+        if not self._bytes.has_room(replica_id, len(call.body)):
+            result = AttemptResult(
+                replica,
+                None,
+                True,
+                'bodies in progress leave no room',
+                is_sent=False,
+            )
+        elif self._limits.acquire(replica_id, MAX_TURN_WAIT_S):
             result = self._send_tracked(replica, route, call, deadline)
         else:
             result = AttemptResult(
@@ -228,7 +240,8 @@
         self._running[replica_id] = self._running.get(replica_id, 0) + 1
         self._health.record_start(replica.address)
         try:
-            result = self._send_in_time(replica, route, call, deadline)
+            with self._bytes.track(replica_id, len(call.body)):
+                result = self._send_in_time(replica, route, call, deadline)
         finally:
             self._running[replica_id] -= 1
             self._health.record_end(replica.address)
--- a/src/lentildeal/_internal/gateway/streams.py
+++ b/src/lentildeal/_internal/gateway/streams.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import eventlet.queue
+import prometheus_client
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.gateway import calls
@@ -23,9 +24,17 @@
 PROGRESS_BYTES = 64
 # Attempts must end within half a second after a caller has left.
 POLL_S = 0.1
+# Longest time for which a caller leaves a chunk untaken. Replicas cut off an
+# answer that remains unread for some seconds, and a slot is taken meanwhile.
+MAX_UNREAD_S = 5.0
 # Chunks that were read while the caller takes an earlier one.
 READ_AHEAD = 1
 
+_unread_total = prometheus_client.Counter(
+    'lentildeal_unread_streams_total',
+    'Streams that were ended at their replica as the caller took nothing.',
+)
+
 
 class StreamProgress:
     """Decides whether a stream has stalled.
@@ -142,11 +151,22 @@
     response: target_connections.TargetResponse,
     chunks: eventlet.queue.LightQueue,
 ) -> None:
-    """Puts the chunks into a queue, then an empty one or the error."""
+    """Puts the chunks into a queue, then an empty one or the error.
+
+    Ends the stream at the replica if the caller doesn't take it.
+    """
     try:
         for chunk in response.iter_chunks():
             if chunk:
-                chunks.put(chunk)
+                chunks.put(chunk, timeout=MAX_UNREAD_S)
         chunks.put(b'')
+    except eventlet.queue.Full:
+        _unread_total.inc()
+        response.abandon()
+        chunks.put(
+            exceptions.TruncatedAnswerError(
+                f'the caller took nothing for {MAX_UNREAD_S:.0f} s'
+            )
+        )
     except exceptions.LentildealError as error:
         chunks.put(error)
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -69,7 +69,8 @@
         connection.request(
             self.method,
             self.target,
-            body=self.body or None,
+            # Parts of a view are sent without copies of the rest.
+            body=memoryview(self.body) if self.body else None,
             headers=fields,
             preload_content=False,
             decode_content=False,
--- a/src/lentildeal/_internal/settings/settings.py
+++ b/src/lentildeal/_internal/settings/settings.py
@@ -101,6 +101,12 @@
         4000,
         minimum=100,
     )
+    replica_bytes: int = options.option(
+        'Bytes of the bodies of live calls that one replica has from this'
+        ' daemon at a time; a single body may be larger.',
+        32 * 1024 * 1024,
+        minimum=1024,
+    )
     queue_length: int = options.option(
         'Most queued requests for one replica.', 1000, minimum=1
     )
--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -10,6 +10,7 @@
 from lentildeal._internal.jobs import work_log
 from lentildeal._internal.kernel import kernel as kernel_module
 from lentildeal._internal.routing import replica_limits
+from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import read_pacing
 from tests.lib import job_builders
 
@@ -32,6 +33,7 @@
         self.state = kernel_module.KernelState.SERVING
         self.settings = types.SimpleNamespace(
             instance='a',
+            limits=settings_module.Limits(),
             store=types.SimpleNamespace(
                 call_bytes=2_000_000,
                 record_bytes=RECORD_BYTES,
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -1,7 +1,9 @@
 """Attempts of live calls that end with an error nobody expected."""
 
 import contextlib
+import dataclasses
 
+import eventlet
 import pytest
 
 from lentildeal._internal import exceptions
@@ -116,3 +118,30 @@
     # The replica still accepts connections, so the call did not end it.
     error = exceptions.ConnectionClosedError('closed')
     assert len(set(send_with(kernel, monkeypatch, error))) == 2
+
+
+def test_large_bodies_at_once_go_to_different_replicas(kernel, monkeypatch):
+    # Guards against a replica whose memory is used up by large bodies, which
+    # could also be kept by others, and against a call that waits in vain.
+    limit_bytes = kernel.settings.limits.replica_bytes
+    gateway = plugin.Gateway(kernel)
+    running = []
+
+    def send(replica, *_):
+        assert replica.replica_id not in running
+        running.append(replica.replica_id)
+        eventlet.sleep(0.1)
+        running.clear()
+        response = calls.LiveResponse(200, (), b'')
+        return plugin.AttemptResult(replica, response, False, 'status 200')
+
+    monkeypatch.setattr(gateway, '_send', send)
+    call = dataclasses.replace(make_call(), body=b'x' * (limit_bytes // 2 + 1))
+    route = make_route(deployment.RouteKind.UNSAFE)
+    # Ties between replicas are broken at random.
+    for _ in range(10):
+        threads = [eventlet.spawn(gateway.forward, route, call) for _ in 'ab']
+        eventlet.sleep(0.03)
+        with pytest.raises(exceptions.NotRunError):
+            gateway.forward(route, call)
+        assert [thread.wait().status for thread in threads] == [200, 200]
--- a/tests/unit/gateway/test_streams.py
+++ b/tests/unit/gateway/test_streams.py
@@ -149,3 +149,27 @@
     eventlet.sleep(0.1)
     assert len(read) <= 4
     chunks.close()
+
+
+def test_caller_who_takes_nothing_does_not_hold_the_replica(monkeypatch):
+    # Guards against a slot that a stalled reader takes from others: the relay
+    # itself doesn't run while its caller takes nothing.
+    monkeypatch.setattr(streams, 'MAX_UNREAD_S', 0.2)
+    response, chunks = relay(repeat(EVENT % 0))
+    next(chunks)
+    eventlet.sleep(0.4)
+    assert response.is_abandoned
+    with pytest.raises(exceptions.TruncatedAnswerError, match='took nothing'):
+        list(chunks)
+
+
+def test_caller_who_pauses_gets_the_whole_stream(monkeypatch):
+    # Guards against sound callers that are cut off.
+    monkeypatch.setattr(streams, 'MAX_UNREAD_S', 0.4)
+    script = [EVENT % number for number in range(5)]
+    response, chunks = relay(script)
+    found = []
+    for chunk in chunks:
+        found.append(chunk)
+        eventlet.sleep(0.2)
+    assert found == script
