--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -36,6 +36,7 @@
             instance='a',
             duties=None,
             hedging=settings_module.Hedging(),
+            limits=settings_module.Limits(),
             store=types.SimpleNamespace(
                 call_bytes=2_000_000,
                 record_bytes=RECORD_BYTES,
