Hold live calls back also where the queues of replicas are short

The queue that a replica reports with a refusal now tells how long queues can be, and the bound is half of that.

--- a/src/lentildeal/_internal/gateway/admission.py
+++ b/src/lentildeal/_internal/gateway/admission.py
@@ -161,11 +161,11 @@
             return
         if run_s is not None:
             service.decisions.record_run(run_s)
-        if load is not None:
+        if is_full and (load is None or load.waiting):
+            # Without a queue, the refusal has another cause.
+            service.decisions.record_full(load)
+        elif load is not None:
             service.decisions.record_report(replica.replica_id, load)
-        elif is_full:
-            # A refusal with a report may have another cause than the queue.
-            service.decisions.record_full()
         self._notify(service)
 
     def find_retry_after_s(
--- a/src/lentildeal/_internal/routing/admission.py
+++ b/src/lentildeal/_internal/routing/admission.py
@@ -143,16 +143,20 @@
             rate.record_report(load, self._capacity_per_s)
             if not self._waiting and not load.waiting:
                 rate.end_unused()
-        free = 0.0 if load.waiting else IDLE_SHARE * load.slots - load.running
+        # The report includes the call whose answer carried it.
+        taken = max(0, load.running - 1)
+        free = 0.0 if load.waiting else IDLE_SHARE * load.slots - taken
         if free > 0.0:
             self._free[replica_id] = free, self._now()
         else:
             self._free.pop(replica_id, None)
 
-    def record_full(self) -> None:
+    def record_full(
+        self, load: typing.Optional[platform_base.ReplicaLoad]
+    ) -> None:
         """Records that a replica had no room for a call."""
         for rate in self._rates.values():
-            rate.record_long_queue()
+            rate.record_full(load)
 
     def record_run(self, elapsed_s: float) -> None:
         """Records how long a replica took for a call."""
--- a/src/lentildeal/_internal/routing/start_rates.py
+++ b/src/lentildeal/_internal/routing/start_rates.py
@@ -21,11 +21,15 @@
 # urgent rank; it doubles from rank to rank. With 137 daemons these are 450
 # calls a second, two thirds of what a plain service of 24 slots can do.
 PROBE_INTERVAL_S = 0.3
-# Queue of a replica, in shares of its slots, above which it counts as long for
-# the most urgent rank. Queues of plain services hold 24 for 6 slots; half of
-# that keeps the slots busy while daemons react, and delays a call by two
-# service times.
-MAX_QUEUE_SHARE = 2.0
+# Queue of a replica that has no room left, in shares of its slots, until one
+# reports it with a refusal; plain services hold 24 calls for 6 slots. Refusals
+# for other causes may come with a short queue, so there is a least value too.
+FULL_QUEUE_SHARE = 4.0
+MIN_FULL_QUEUE_SHARE = 1.0
+# Part of a full queue above which it counts as long for the most urgent rank.
+# It keeps the slots busy while daemons react, and delays a call by two service
+# times.
+MAX_QUEUE_FILL = 0.5
 # Each rank's bound, as a part of that of the next more urgent one.
 RANK_FACTOR = 0.5
 # A limit falls by this factor, at most once in an interval in which the
@@ -68,6 +72,7 @@
         self.rank_index = rank_index
         self.arrivals = estimates.ArrivalRate(ARRIVAL_WINDOW_S, now)
         self._now = now
+        self._full_queue_share = FULL_QUEUE_SHARE
         self._rate: typing.Optional[float] = None
         self._starts = estimates.ArrivalRate(START_WINDOW_S, now)
         self._next_start_s = -math.inf
@@ -93,7 +98,8 @@
     @property
     def max_queue_share(self) -> float:
         """Queue that isn't too long yet, in shares of the slots."""
-        return MAX_QUEUE_SHARE * RANK_FACTOR**self.rank_index
+        fill = MAX_QUEUE_FILL * RANK_FACTOR**self.rank_index
+        return self._full_queue_share * fill
 
     def record_start(self) -> None:
         """Records a call that is placed now."""
@@ -118,21 +124,23 @@
                 unknown.
         """
         if load.waiting > self.max_queue_share * max(1, load.slots):
-            self.record_long_queue()
+            self._record_long_queue()
         elif self.per_second is not None:
             self._increase(load, capacity_per_s)
 
-    def record_long_queue(self) -> None:
-        """Records a replica whose queue is too long."""
-        now_s = self._now()
-        rate = self.per_second
-        self._reported_s = now_s
-        if rate is None:
-            # What was started lately was too much.
-            rate = self._starts.per_second
-        elif now_s - self._changed_s < CHANGE_INTERVAL_S:
-            return
-        self._change(max(MIN_RATE, rate * DECREASE))
+    def record_full(
+        self, load: typing.Optional[platform_base.ReplicaLoad]
+    ) -> None:
+        """Records a replica that had no room, with its report if it sent one.
+
+        The queues of services differ, and their lengths aren't published.
+        """
+        if load is not None:
+            share = load.waiting / max(1, load.slots)
+            self._full_queue_share = min(
+                FULL_QUEUE_SHARE, max(MIN_FULL_QUEUE_SHARE, share)
+            )
+        self._record_long_queue()
 
     def end_unused(self) -> None:
         """Ends a limit that is far above what arrives."""
@@ -145,6 +153,17 @@
         if self._rate is not None:
             self._change(max(MIN_RATE, self._rate * factor))
 
+    def _record_long_queue(self) -> None:
+        now_s = self._now()
+        rate = self.per_second
+        self._reported_s = now_s
+        if rate is None:
+            # What was started lately was too much.
+            rate = self._starts.per_second
+        elif now_s - self._changed_s < CHANGE_INTERVAL_S:
+            return
+        self._change(max(MIN_RATE, rate * DECREASE))
+
     def _increase(
         self, load: platform_base.ReplicaLoad, capacity_per_s: float
     ) -> None:
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -6,12 +6,14 @@
 import typing
 
 import eventlet
+from eventlet import semaphore
 
 from standins import common
 
 REQUEST_ID_HEADER = 'Lentildeal-Request-Id'
 VERSIONS_HEADER = 'Lentildeal-Weight-Versions'
 LOAD_DURATION_S = 0.2
+UNLIMITED = 1_000_000
 
 
 class Replica(common.StandIn):
@@ -38,6 +40,10 @@
         self._orders: list[dict] = []
         self._runs: list[dict] = []
         self._is_loading = False
+        # Calls without a model that run and that wait for a slot.
+        self._running = 0
+        self._waiting = 0
+        self._slots = semaphore.Semaphore(arguments.slots or UNLIMITED)
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -46,6 +52,11 @@
         parser.add_argument('--models', default='model')
         parser.add_argument('--events', type=int, default=10)
         parser.add_argument('--event-ms', type=int, default=20)
+        # A replica without a model: calls that it runs at once (0 for any
+        # number, then it reports no load), that wait, and their work.
+        parser.add_argument('--slots', type=int, default=0)
+        parser.add_argument('--queue', type=int, default=24)
+        parser.add_argument('--work-ms', type=int, default=0)
 
     def journal(self) -> dict:
         """Requests that ran, and orders, each in order of arrival."""
@@ -90,6 +101,11 @@
 
     def _run(self, request: common.Request) -> common.Response:
         request_id = request.headers.get(REQUEST_ID_HEADER.lower(), '')
+        is_plain = 'lentildeal-model' not in request.headers
+        if is_plain and self._waiting >= self.arguments.queue:
+            return common.Response(
+                503, {'Lentildeal-Not-Executed': '1', **self._state_headers}
+            )
         if self.faults.should_inject('full'):
             return common.Response(
                 503, {'Lentildeal-Not-Executed': '1', **self._state_headers}
@@ -100,6 +116,7 @@
                 'id': request_id,
                 'after': last_event_id,
                 'path': request.path,
+                'account': request.headers.get('lentildeal-tenant'),
                 'at_s': common.now_s(),
             }
         )
@@ -116,16 +133,31 @@
             return common.Response(500, headers)
         model = request.headers.get('lentildeal-model')
         if model is None:
+            headers.update(self._work())
             return common.Response(200, headers, b'plain ' + request.body)
         headers[VERSIONS_HEADER] = str(self._versions[model])
         headers['Content-Type'] = 'text/event-stream'
         start = 0 if last_event_id is None else int(last_event_id) + 1
         return common.Response(200, headers, self._stream(request, start))
 
+    def _work(self) -> dict[str, str]:
+        """Waits for a slot and works; returns the load at the end."""
+        self._waiting += 1
+        with self._slots:
+            self._waiting -= 1
+            self._running += 1
+            eventlet.sleep(self.arguments.work_ms / 1000)
+            headers = self._state_headers
+            self._running -= 1
+        return headers
+
     @property
     def _state_headers(self) -> dict[str, str]:
         limit = self.faults['limit']
         headers = {'Server-Limit': str(limit)} if limit else {}
+        if self.arguments.slots:
+            load = self._running, self._waiting, self.arguments.slots
+            headers['Lentildeal-Replica-Load'] = ','.join(map(str, load))
         if self.faults['leaving']:
             headers['Server-Leaving'] = '1'
         return headers
--- a/tests/lib/admission_world.py
+++ b/tests/lib/admission_world.py
@@ -148,12 +148,13 @@
             self._own[replica] -= 1
             self._world.in_flight -= 1
             self._loads[replica] = load.running + load.waiting - 1, started_s
-            self._admission.record_report(replica.replica_id, load)
             if has_run:
+                self._admission.record_report(replica.replica_id, load)
                 self._admission.record_run(self._world.now() - started_s)
                 self._admission.record_end()
                 client.finish()
             else:
+                self._admission.record_full(load)
                 client.tried = (*client.tried, replica)
                 decision = self._admission.ask_again(request)
                 self._follow(client, request, decision)
--- a/tests/unit/routing/test_admission.py
+++ b/tests/unit/routing/test_admission.py
@@ -191,6 +191,19 @@
         assert world.share(0) > world.share(1) + 0.15
 
 
+@DAEMONS
+def test_one_account_floods_replicas_with_short_queues(daemons):
+    # Guards against a bound on queues that short ones never reach, so that no
+    # limit is in force and the replicas refuse whoever comes.
+    sources = [Source(f'a{n}', 45) for n in range(10)]
+    world = run_world(
+        [*sources, Source('flood', 450)], daemons=daemons, queue=6
+    )
+    check_answers(world)
+    others = [world.share(f'a{n}') for n in range(10)]
+    assert sum(others) / 10 > world.share('flood') + 0.05
+
+
 @DAEMONS
 def test_kinds_that_arrive_at_different_daemons(daemons):
     # Guards against an order that holds only within a daemon.
