--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -6,6 +6,7 @@
 import typing
 
 import eventlet
+from eventlet import semaphore
 
 from standins import common
 
@@ -17,6 +18,7 @@
 SLOW_WORK_S = 1.0
 # Interval at which a plain request notices that its connection was closed.
 CHECK_INTERVAL_S = 0.02
+UNLIMITED = 1_000_000
 
 
 class Replica(common.StandIn):
@@ -50,8 +52,11 @@
         self._orders: list[dict] = []
         self._runs: list[dict] = []
         self._is_loading = False
-        self._running = 0
         self._dropped = 0
+        # Calls without a model that run and that wait for a slot.
+        self._running = 0
+        self._waiting = 0
+        self._slots = semaphore.Semaphore(arguments.slots or UNLIMITED)
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -60,6 +65,11 @@
         parser.add_argument('--models', default='model')
         parser.add_argument('--events', type=int, default=10)
         parser.add_argument('--event-ms', type=int, default=20)
+        # A replica without a model: calls that it runs at once (0 for any
+        # number, then it reports no load), that wait, and their work.
+        parser.add_argument('--slots', type=int, default=0)
+        parser.add_argument('--queue', type=int, default=24)
+        parser.add_argument('--work-ms', type=int, default=0)
 
     def journal(self) -> dict:
         """Requests that ran, orders, and requests dropped by callers."""
@@ -108,6 +118,11 @@
 
     def _run(self, request: common.Request) -> common.Response:
         request_id = request.headers.get(REQUEST_ID_HEADER.lower(), '')
+        is_plain = 'lentildeal-model' not in request.headers
+        if is_plain and self._waiting >= self.arguments.queue:
+            return common.Response(
+                503, {'Lentildeal-Not-Executed': '1', **self._state_headers}
+            )
         if self.faults.should_inject('full'):
             return common.Response(
                 503, {'Lentildeal-Not-Executed': '1', **self._state_headers}
@@ -140,6 +155,8 @@
             if self.faults.should_inject('slow'):
                 self._work_slowly(request)
                 headers.update(self._state_headers)
+            elif self.arguments.slots:
+                headers.update(self._work())
             return common.Response(200, headers, b'plain ' + request.body)
         headers[VERSIONS_HEADER] = str(self._versions[model])
         headers['Content-Type'] = 'text/event-stream'
@@ -158,10 +175,24 @@
         finally:
             self._running -= 1
 
+    def _work(self) -> dict[str, str]:
+        """Waits for a slot and works; returns the load at the end."""
+        self._waiting += 1
+        with self._slots:
+            self._waiting -= 1
+            self._running += 1
+            eventlet.sleep(self.arguments.work_ms / 1000)
+            headers = self._state_headers
+            self._running -= 1
+        return headers
+
     @property
     def _state_headers(self) -> dict[str, str]:
         limit = self.faults['limit']
         headers = {'Server-Limit': str(limit)} if limit else {}
+        if self.arguments.slots:
+            load = self._running, self._waiting, self.arguments.slots
+            headers[LOAD_HEADER] = ','.join(map(str, load))
         if self.faults['leaving']:
             headers['Server-Leaving'] = '1'
         slots = self.faults['slots']
