--- a/tests/functional/test_account_keys.py
+++ b/tests/functional/test_account_keys.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from lentildeal._internal.accounts import authentication
 from tests.functional import test_accounts
 from tests.lib import platform_world
 from tests.lib import processes
@@ -100,9 +101,13 @@
         if not is_silent:
             address = f'127.0.0.1:{processes.find_free_port()}'
         set_store(launcher, cut_off, address)
+        # A read that was in progress still uses the earlier address.
         processes.wait_for(
-            lambda: cut_off.read_events('dependency_lost'),
-            'the daemon notices that it is cut off',
+            lambda: any(
+                event['dependency'] == 'keyed.op'
+                for event in cut_off.read_events('dependency_lost')
+            ),
+            'the daemon notices that it cannot read the text',
         )
         world.write_text(2, accounts=CHANGED)
         wait_for_status(other, 'key-new', 200)
@@ -151,7 +156,8 @@
     wait_for_status(other, 'key-new', 200)
     # Older than the age up to which a known key is served at once.
     with contextlib.suppress(TimeoutError):
-        processes.wait_for(lambda: False, 'time passes', 2.5)
+        age_s = authentication.KNOWN_KEY_AGE_S + 0.5
+        processes.wait_for(lambda: False, 'time passes', age_s)
     frozen.signal(signal.SIGCONT)
     assert call(frozen, 'key-old') == 401
     assert call(frozen, 'key-new') == 200
