--- a/src/lentildeal/_internal/gateway/admission.py
+++ b/src/lentildeal/_internal/gateway/admission.py
@@ -20,6 +20,7 @@
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import outcomes
 from lentildeal._internal.routing import admission
 from lentildeal._internal.routing import fair_shares
 from lentildeal._internal.utils import clock
@@ -242,7 +243,8 @@
         """Checks that a waiting call is still worth its place.
 
         Raises:
-            exceptions.NotRunError: Its client or this instance leaves.
+            exceptions.NotRunError: Its client or this instance leaves, or its
+                time is over.
         """
         if ticket.call.is_client_gone():
             raise exceptions.NotRunError(
@@ -251,6 +253,13 @@
                 retry_after_s=admission.MIN_RETRY_AFTER_S,
             )
         left_s = ticket.request.ends_s - clock.monotonic_s()
+        if left_s <= 0.0:
+            # Normally refused before; the timer of the service has failed.
+            raise exceptions.NotRunError(
+                'the call waited for its whole time',
+                cause=outcomes.Cause.DEADLINE.value,
+                retry_after_s=admission.MIN_RETRY_AFTER_S,
+            )
         self._kernel.check_time_left(left_s)
 
     def _notify(self, service: _Service) -> None:
--- a/tests/unit/gateway/test_admission.py
+++ b/tests/unit/gateway/test_admission.py
@@ -180,6 +180,16 @@
     assert call.outcome == 200
 
 
+def test_waiting_call_ends_with_its_time_without_the_timer(world):
+    # Guards against threads that wait without end after an internal error.
+    world.fill()
+    call = start_waiting(world, time_s=0.5)
+    for service in world.gateway.admission._services.values():
+        service.timer.cancel()
+    store_kernel.wait_for(lambda: call.outcome)
+    assert call.outcome.cause == 'deadline'
+
+
 def test_client_that_leaves_while_waiting_is_not_served(world):
     # Guards against calls that run for nobody, and whose place is lost.
     world.fill()
