Repeat orders that the previous holder may not have sent

Cause: an order that its holder wrote to the log and did not send was repeated only when its replicas were missing for 12 s.

Change: an answered order is named as such in the log; a new holder repeats the others at once.

Result: tests/unit/scaling passes three times, 26 tests; without the repeat test_next_holder_repeats_an_order_that_may_be_lost fails.

--- a/src/lentildeal/_internal/scaling/decisions.py
+++ b/src/lentildeal/_internal/scaling/decisions.py
@@ -134,6 +134,12 @@
         state.is_answered = True
         state.repeat_s = math.inf
 
+    def take_over(self, now_s: float) -> None:
+        """Repeats orders that the previous holder may not have sent."""
+        for state in self._places.values():
+            if state.ordered is not None and not state.is_answered:
+                state.repeat_s = now_s
+
     def record_failure(self, place: allocation.Place, now_s: float) -> None:
         """Records that an order was not sent, or got no answer."""
         state = self.get(place)
--- a/src/lentildeal/_internal/scaling/plugin.py
+++ b/src/lentildeal/_internal/scaling/plugin.py
@@ -131,6 +131,8 @@
             self._renewed_s.pop(service.name, None)
             return
         plan = self._get_plan(service.name)
+        if service.name not in self._renewed_s:
+            self._take_over(service.name)
         orders = plan.decide(service.scaling, service.slots, clock.uptime_s())
         if not orders:
             self._renew(service.name)
@@ -153,17 +155,22 @@
         self._renewed_s[service] = clock.uptime_s()
         return self._calls.plan(
             [
-                records.DutyCallPlanned(
-                    lease_name, place.subject, (('count', count),)
-                )
+                _make_plan(lease_name, place, count, False)
                 for place, count in orders.items()
             ]
         )
 
+    def _take_over(self, service: ids.ServiceName) -> None:
+        """Begins with the orders of the previous holder."""
+        if self._calls.sync():
+            now_s = clock.uptime_s()
+            self._renewed_s[service] = now_s
+            self._get_plan(service).take_over(now_s)
+
     def _renew(self, service: ids.ServiceName) -> None:
         """Writes the ordered numbers again, without calls."""
         now_s = clock.uptime_s()
-        if now_s - self._renewed_s.setdefault(service, now_s) < RENEWAL_S:
+        if now_s - self._renewed_s.get(service, now_s) < RENEWAL_S:
             return
         ordered = self._get_plan(service).list_ordered()
         if ordered:
@@ -184,6 +191,8 @@
         plan = self._get_plan(service)
         if outcome is platform_base.DutyOutcome.DONE:
             plan.record_answer(place)
+            # Tells the next holder that it need not repeat the order.
+            self._log.enqueue(_make_plan(lease_name, place, count, True))
         elif outcome is platform_base.DutyOutcome.REFUSED:
             plan.record_refusal(place, clock.uptime_s())
             self._calls.handle_refusal(lease_name)
@@ -222,4 +231,23 @@
         service = ids.ServiceName(record.duty.partition('/')[2])
         place = allocation.parse_subject(record.subject)
         count = dict(record.values)['count']
-        self._get_plan(service).record_order(place, count, clock.uptime_s())
+        plan = self._get_plan(service)
+        if not record.confirmed:
+            plan.record_order(place, count, clock.uptime_s())
+        elif plan.get(place).ordered == count:
+            plan.record_answer(place)
+
+
+def _make_plan(
+    lease_name: ids.LeaseName,
+    place: allocation.Place,
+    count: int,
+    is_answered: bool,
+) -> records.DutyCallPlanned:
+    subject = place.subject
+    return records.DutyCallPlanned(
+        lease_name,
+        subject,
+        (('count', count),),
+        (subject,) if is_answered else (),
+    )
--- a/tests/unit/scaling/test_plugin.py
+++ b/tests/unit/scaling/test_plugin.py
@@ -142,12 +142,25 @@
     """Guards against a second order while the replica of the first starts."""
     first, second = start(), start(is_holder=False)
     store_kernel.wait_for(lambda: first.platform.calls)
+    # The holder also writes that the order was answered.
+    eventlet.sleep(0.3)
     first.is_holder = False
     second.is_holder = True
     eventlet.sleep(0.5)
     assert not second.platform.calls
 
 
+def test_next_holder_repeats_an_order_that_may_be_lost(start):
+    """Guards against an order that its holder wrote to the log only."""
+    first, second = start(), start(is_holder=False)
+    first.platform.outcomes = [exceptions.PlatformError('cut off')] * 100
+    store_kernel.wait_for(lambda: first.platform.calls)
+    first.is_holder = False
+    second.is_holder = True
+    store_kernel.wait_for(lambda: second.platform.calls)
+    assert second.platform.calls[0] == first.platform.calls[0]
+
+
 def test_calls_keep_below_the_rate_of_the_platform():
     """Guards against calls of the holder that use up what all may send."""
     times = [0.0]
