Share the daemon of the duty tests

Cause: two tests of plug-ins had the same fake platform and leases.

Change: tests/lib/duty_daemon.py has them.

--- a/tests/unit/scaling/test_plugin.py
+++ b/tests/unit/scaling/test_plugin.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import dataclasses
-import types
 
 import eventlet
 import pytest
@@ -13,58 +12,25 @@
 from lentildeal._internal.models import deployment
 from lentildeal._internal.scaling import decisions
 from lentildeal._internal.scaling import plugin
-from lentildeal._internal.settings import settings as settings_module
+from tests.lib import duty_daemon
 from tests.lib import fake_store
 from tests.lib import job_builders
 from tests.lib import store_kernel
 
 SCALING = deployment.Scaling(1, 3, 4.0, 0.2, {'d1': 1.0, 'd2': 0.5})
-LEASE = f'scaling/{job_builders.SERVICE}'
-
-
-class FakePlatform:
-    """Answers orders with the given outcomes, then with DONE."""
-
-    def __init__(self, store):
-        self.store = store
-        self.calls = []
-        self.outcomes = []
-
-    def order_replicas(self, order, duty):
-        self.calls.append(order)
-        outcome = self.outcomes.pop(0) if self.outcomes else None
-        if isinstance(outcome, Exception):
-            raise outcome
-        return outcome or platform_base.DutyOutcome.DONE
-
-
-class Daemon:
-    """One daemon that holds the lease if told so."""
-
-    def __init__(self, store, is_holder=True):
-        self.kernel = store_kernel.StoreKernel(store)
-        self.kernel.settings.duties = settings_module.Duties(address='x')
-        self.kernel.settings.store.requires_fence = True
-        self.platform = FakePlatform(store)
-        self.resigned = []
-        self.is_holder = is_holder
-        self.kernel.plugins['duties'] = types.SimpleNamespace(
-            find_term=lambda lease_name: 7,
-            may_order=lambda lease_name: self.is_holder,
-            resign=lambda lease_name, reason: self.resigned.append(lease_name),
-        )
-        directory = self.kernel.plugins['directory']
-        directory.platform = self.platform
-        service = directory.text.services[job_builders.SERVICE]
-        directory.text.services[job_builders.SERVICE] = dataclasses.replace(
-            service, scaling=SCALING
+
+
+class Daemon(duty_daemon.DutyDaemon):
+    """One daemon with a service whose replicas are ordered."""
+
+    def __init__(self, store, **options):
+        super().__init__(store, **options)
+        services = self.directory.text.services
+        services[job_builders.SERVICE] = dataclasses.replace(
+            services[job_builders.SERVICE], scaling=SCALING
         )
-        self.replicas = directory.replicas
+        self.replicas = self.directory.replicas
         self.add_replica('r1', 'd1')
-        self.kernel.add_work_log()
-        calls = duties_plugin.DutyCalls(self.kernel)
-        self.kernel.plugins['duty_calls'] = calls
-        calls.start()
         plugin.ReplicaScaling(self.kernel).start()
 
     def add_replica(self, replica_id, failure_domain):
--- a/tests/unit/usage/test_plugin.py
+++ b/tests/unit/usage/test_plugin.py
@@ -7,13 +7,12 @@
 import pytest
 
 from lentildeal._internal.adapters import platform_base
-from lentildeal._internal.duties import plugin as duties_plugin
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import lease_manager
 from lentildeal._internal.jobs import records
-from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.usage import plugin
 from lentildeal._internal.usage import reports
+from tests.lib import duty_daemon
 from tests.lib import fake_store
 from tests.lib import job_builders
 from tests.lib import store_kernel
@@ -23,62 +22,14 @@
 LEASE = lease_manager.USAGE_LEASE
 
 
-class FakeDuties:
-    """Leases of one daemon."""
-
-    def __init__(self):
-        self.is_holder = True
-        self.resigned = []
-
-    def find_term(self, lease_name):
-        return 7 if self.is_holder else None
-
-    def may_order(self, lease_name):
-        return self.is_holder
-
-    def resign(self, lease_name, reason):
-        self.resigned.append(lease_name)
-        self.is_holder = False
-
-
-class FakePlatform:
-    """Answers reports with the given outcomes, then with DONE.
-
-    A callable is called instead; an exception is raised.
-    """
-
-    def __init__(self):
-        self.calls = []
-        self.outcomes = []
-
-    def report_usage(self, report, duty):
-        self.calls.append((report.window, dict(report.counts), duty))
-        outcome = self.outcomes.pop(0) if self.outcomes else None
-        if isinstance(outcome, Exception):
-            raise outcome
-        return outcome or platform_base.DutyOutcome.DONE
-
-
-class Daemon:
+class Daemon(duty_daemon.DutyDaemon):
     """One daemon on a store that others may share."""
 
     def __init__(self, store, incarnation=1):
-        self.kernel = store_kernel.StoreKernel(store)
-        self.kernel.incarnation = incarnation
-        self.kernel.settings.duties = settings_module.Duties(
-            address='x', window_s=WINDOW_S, due_s=2 * WINDOW_S
+        super().__init__(
+            store, incarnation, window_s=WINDOW_S, due_s=2 * WINDOW_S
         )
-        self.kernel.settings.store.requires_fence = True
-        self.duties = FakeDuties()
-        self.platform = FakePlatform()
-        self.platform.store = store
-        self.kernel.plugins['duties'] = self.duties
-        self.kernel.plugins['directory'].platform = self.platform
-        self.kernel.add_work_log()
-        calls = duties_plugin.DutyCalls(self.kernel)
-        self.kernel.plugins['duty_calls'] = calls
         self.usage = plugin.Usage(self.kernel)
-        calls.start()
         self.usage.start()
 
     def find_counts(self):
@@ -122,7 +73,7 @@
     A call that may have run is counted, one that was refused is not.
     """
     holder, other = start(1), start(2)
-    other.duties.is_holder = False
+    other.is_holder = False
     with holder.usage.track(ROUTE, 'a'):
         pass
     with other.usage.track(ROUTE, None):
@@ -163,17 +114,17 @@
 def test_next_holder_sends_the_report_of_the_log(start):
     """Guards against a second report made of counts that came later."""
     first, second = start(1), start(2)
-    second.duties.is_holder = False
+    second.is_holder = False
     first.platform.outcomes = [exceptions.PlatformError('cut off')] * 100
     with first.usage.track(ROUTE, 'a'):
         pass
     store_kernel.wait_for(lambda: first.platform.calls)
     window, counts, _ = first.platform.calls[0]
-    first.duties.is_holder = False
+    first.is_holder = False
     second.usage._log.append(
         [records.UsageCounts(3, 1, window, ((window, 'a', 5),))]
     )
-    second.duties.is_holder = True
+    second.is_holder = True
     store_kernel.wait_for(lambda: second.platform.calls)
     assert second.platform.calls[0][:2] == (window, counts)
 
@@ -181,10 +132,10 @@
 def test_confirmed_report_is_not_sent_by_the_next_holder(start):
     """Guards against calls that are paid for and have no effect."""
     first, second = start(1), start(2)
-    second.duties.is_holder = False
+    second.is_holder = False
     store_kernel.wait_for(lambda: len(first.platform.calls) >= 3)
-    first.duties.is_holder = False
-    second.duties.is_holder = True
+    first.is_holder = False
+    second.is_holder = True
     store_kernel.wait_for(lambda: second.platform.calls)
     assert second.platform.calls[0][0] >= first.platform.calls[2][0]
 
@@ -193,7 +144,7 @@
     """Guards against a holder that calls with an outdated token."""
     daemon = start()
     daemon.platform.outcomes = [platform_base.DutyOutcome.REFUSED]
-    store_kernel.wait_for(lambda: daemon.duties.resigned)
+    store_kernel.wait_for(lambda: daemon.resigned)
     eventlet.sleep(2 * WINDOW_S)
     assert len(daemon.platform.calls) == 1
 
@@ -224,10 +175,9 @@
     """Guards against a call of a holder that was frozen before it."""
     daemon = start()
     store_kernel.wait_for(lambda: daemon.platform.calls)
-    calls = daemon.kernel.plugins['duty_calls']
-    daemon.duties.may_order = lambda lease_name: False
+    daemon.may_order = lambda lease_name: False
     count = len(daemon.platform.calls)
-    assert calls.call(LEASE, '1', lambda duty: 1 / 0) is None
+    assert daemon.calls.call(LEASE, '1', lambda duty: 1 / 0) is None
     eventlet.sleep(2 * WINDOW_S)
     assert len(daemon.platform.calls) == count
 
