Correct extra copies without a replica, after errors and with old reports

Change: the copy knows whether it won; an error counts as no room; a report older than 0.1 s is checked; the median counts from five measurements on.

--- a/src/lentildeal/_internal/gateway/copies.py
+++ b/src/lentildeal/_internal/gateway/copies.py
@@ -36,6 +36,10 @@
     A second one would go to a third replica when two are slow, which is
     overload more often than chance.
 
+    Attributes:
+        is_won: Whether the answer of the copy was used.
+        replica_id: Replica of the copy, None without one.
+
     Args:
         policy: Decides on the copies of this daemon.
         route: Route of the call.
@@ -59,6 +63,7 @@
         self._is_running = False
         self._is_sent = False
         self._is_denied = False
+        self.is_won = False
         self.replica_id: typing.Optional[ids.ReplicaId] = None
         policy.record_request()
 
@@ -121,7 +126,7 @@
         Args:
             winner: Replica that answered, None without an answer.
         """
-        is_won = winner is not None and winner == self.replica_id
+        self.is_won = winner is not None and winner == self.replica_id
         # A call without an answer counts once it is late: it would have taken
         # longer still.
         if winner is not None or self.find_wait_s() <= 0.0:
@@ -129,9 +134,9 @@
         self._end_running(is_refunded=not self._is_sent)
         if not self._is_sent:
             return
-        _copies_total.labels('won' if is_won else 'wasted').inc()
+        _copies_total.labels('won' if self.is_won else 'wasted').inc()
         wasted_s = clock.monotonic_s() - self._sent_s
-        if is_won:
+        if self.is_won:
             wasted_s = self.elapsed_s
         _wasted_seconds_total.inc(wasted_s)
 
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -252,11 +252,11 @@
     def has_room_for_copy(self, replica: deployment.Replica) -> bool:
         """Whether a replica has room for an extra copy.
 
-        Asks the replica unless its last report is still valid. Copies are
-        rare, and one at a busy replica costs more than a status check.
+        Asks the replica unless it has just reported. Copies are rare, and one
+        at a busy replica costs more than a status check.
         """
         (estimate,) = self._estimate([replica])
-        if estimate.weight <= 0.0:
+        if estimate.age_s > extra_copies.MAX_REPORT_AGE_S:
             try:
                 load = self._directory.platform.get_load(replica)
             except exceptions.PlatformError:
@@ -610,7 +610,13 @@
     def _run_copy(
         self, copy: copies.CallCopy, replica: deployment.Replica
     ) -> None:
-        if self._gateway.has_room_for_copy(replica):
+        try:
+            has_room = self._gateway.has_room_for_copy(replica)
+        except Exception as error:
+            # The call would wait for this copy until its deadline.
+            logger.opt(exception=error).error('status check failed')
+            has_room = False
+        if has_room:
             copy.record_sent(self.tried[0])
             self._run_attempt(replica)
             return
@@ -622,8 +628,7 @@
 
     def _finish_copy(self, copy: copies.CallCopy) -> None:
         copy.finish(self.answered_by)
-        is_won = self.answered_by not in (None, self.tried[0])
-        if is_won and self.answered_by == copy.replica_id:
+        if copy.is_won:
             self._gateway.record_overtaken(self.tried[0], copy.elapsed_s)
 
     def _run_attempt(self, replica: deployment.Replica) -> None:
--- a/src/lentildeal/_internal/routing/extra_copies.py
+++ b/src/lentildeal/_internal/routing/extra_copies.py
@@ -24,7 +24,10 @@
 # It is also not late before this multiple of the usual time: where all take
 # about as long, it will answer before a copy could.
 MIN_LATE_FACTOR = 1.5
-# The same without measurements and without an objective.
+# Measurements whose median counts. With fewer, one or two slow requests would
+# pass for what is usual.
+MIN_MEASUREMENTS = 5
+# Time after which a request is late without measurements and an objective.
 DEFAULT_LATE_S = 1.0
 # Measurements that are kept for each kind of request, and for how long. Slow
 # times of replicas last seconds, and a day's traffic changes over minutes.
@@ -35,6 +38,9 @@
 # Share of a replica's slots from which no copy is sent there. Above it, a copy
 # would soon wait or make others wait.
 MAX_TAKEN_SHARE = 0.5
+# Age of a report from which the replica is asked for its status first. About
+# two requests are served in this time.
+MAX_REPORT_AGE_S = 0.1
 # The service as a whole is slow if more than this share of the last calls was
 # late. Copies then add load and help nobody. One slow replica of three makes a
 # third of the calls late, which is what copies are for.
@@ -192,8 +198,7 @@
         rank = math.ceil(USUAL_SHARE * (len(times) + 1))
         if rank <= len(times):
             late_s = times[rank - 1]
-        usual_s = statistics.median(times) if times else 0.0
-        return max(late_s, MIN_LATE_FACTOR * usual_s)
+        return max(late_s, MIN_LATE_FACTOR * _find_usual_s(times))
 
     def is_overloaded(self, service: ids.ServiceName) -> bool:
         """Whether copies would make a slow service slower."""
@@ -211,9 +216,8 @@
         """Judges whether a copy of a request may be sent at all."""
         if request.elapsed_s < self.late_after_s(request):
             return Verdict.NOT_LATE
-        times = self._list_times(request)
         # A copy usually takes as long as half of the requests do.
-        if request.remaining_s <= (statistics.median(times) if times else 0):
+        if request.remaining_s <= _find_usual_s(self._list_times(request)):
             return Verdict.NO_TIME
         if self.is_overloaded(request.service):
             return Verdict.OVERLOAD
@@ -226,7 +230,7 @@
 
         Args:
             estimate: What is known of it. Callers make sure that the report is
-                still valid; a replica that reports nothing is judged by this
+                new; a replica that reports nothing is judged by this
                 daemon's own requests.
         """
         taken = estimate.own_running + estimate.others
@@ -238,3 +242,8 @@
     def _list_times(self, request: Request) -> list[float]:
         kind = self._kinds.get(request.kind)
         return [] if kind is None else kind.list_recent(self._now())
+
+
+def _find_usual_s(times: typing.Sequence[float]) -> float:
+    """Median of enough times, otherwise 0."""
+    return statistics.median(times) if len(times) >= MIN_MEASUREMENTS else 0.0
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -2,12 +2,14 @@
 
 import contextlib
 
+import eventlet
 import pytest
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import plugin
 from lentildeal._internal.models import deployment
+from lentildeal._internal.settings import settings
 from lentildeal._internal.utils import clock
 from tests.lib import fake_store
 from tests.lib import job_builders
@@ -116,3 +118,39 @@
     # The replica still accepts connections, so the call did not end it.
     error = exceptions.ConnectionClosedError('closed')
     assert len(set(send_with(kernel, monkeypatch, error))) == 2
+
+
+def test_call_without_a_replica_is_refused_with_extra_copies(kernel):
+    # Guards against an internal error where there is nothing to copy.
+    kernel.settings.hedging = settings.Hedging(0.5)
+    for replica_id in ('r1', 'r2'):
+        kernel.plugins['directory'].replicas.apply(
+            deployment.ReplicaChange(replica_id, None)
+        )
+    route = make_route(deployment.RouteKind.SAFE)
+    with pytest.raises(exceptions.NotRunError):
+        plugin.Gateway(kernel).forward(route, make_call())
+
+
+def test_copy_whose_status_check_raises_ends(kernel, monkeypatch):
+    # Guards against a call that waits until its deadline for a copy that ended
+    # without a result, after its first attempt failed.
+    kernel.settings.hedging = settings.Hedging(1.0)
+    gateway = plugin.Gateway(kernel)
+
+    def send(replica, *_):
+        eventlet.sleep(0.1)
+        return plugin.AttemptResult(replica, None, False, 'broken')
+
+    def fail(_replica):
+        raise LookupError('unexpected')
+
+    monkeypatch.setattr(gateway, '_send', send)
+    monkeypatch.setattr(gateway, 'has_room_for_copy', fail)
+    route = job_builders.make_route(
+        kind=deployment.RouteKind.SAFE, timeout_s=5.0, objective_s=0.02
+    )
+    started_s = clock.monotonic_s()
+    with pytest.raises(exceptions.MayHaveRunError):
+        gateway.forward(route, make_call())
+    assert clock.monotonic_s() - started_s < 2.0
