--- a/src/lentildeal/_internal/network/bounded_reads.py
+++ b/src/lentildeal/_internal/network/bounded_reads.py
@@ -30,11 +30,13 @@
         super().__init__()
         self._inner = inner
         self.is_ended = False
+        self.reads = 0
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: typing.Any) -> typing.Optional[int]:
+        self.reads += 1
         return 0 if self.is_ended else self._inner.readinto(buffer)
 
     def close(self) -> None:
@@ -65,6 +67,11 @@
         """Makes a bounded reader of the stream of another, unused one."""
         return cls(reader.detach())
 
+    @property
+    def reads(self) -> int:
+        """Number of reads from the stream below."""
+        return self._endable.reads
+
     def reset_line_count(self) -> None:
         """Starts a new message."""
         self._line_bytes = 0
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -159,7 +159,11 @@
     def _wait_for_head(self) -> None:
         """Waits for the first byte, then limits the time for the head."""
         with contextlib.suppress(ConnectionError):
+            reads = self.rfile.reads
             head = self.rfile.peek(1)
+            if self.rfile.reads == reads:
+                # Requests that were sent ahead would keep all others waiting.
+                eventlet.sleep(0)
             self._holder.enter(shedding.Phase.HEAD)
             if HEAD_END not in head:
                 self._head_timeout = eventlet.Timeout(
@@ -169,7 +173,6 @@
     def _end_head(self) -> None:
         if self._head_timeout is not None:
             self._head_timeout.cancel()
-            self._head_timeout = None
 
     def finish(self) -> None:
         """Also forgets the connection, and always frees its descriptor.
