Pass the settings of the duty world by name

Cause: the world of the platform tests has got accounts as a further argument, so that the daemons of the duty tests got their settings as accounts.

--- a/tests/functional/test_duties.py
+++ b/tests/functional/test_duties.py
@@ -38,7 +38,7 @@
                 'due_s': DUE_S,
             },
         }
-        super().__init__(launcher, daemons, 1, sections)
+        super().__init__(launcher, daemons, 1, sections=sections)
 
     def list_reports(self):
         """Calls with reports, in order."""
--- a/tests/lib/keyed_daemon.py
+++ b/tests/lib/keyed_daemon.py
@@ -27,7 +27,7 @@
 
 if __name__ == '__main__':
     # Replaces the plug-in of that name.
-    plugin.plugins.register('gateway', after=('directory', 'replica_limits'))(
-        _KeyedGateway
-    )
+    plugin.plugins.register(
+        'gateway', after=('directory', 'replica_limits', 'usage')
+    )(_KeyedGateway)
     sys.exit(main.main())
