Let limits rise by a factor while queues are short

Cause: a limit rose by a small amount only, so an urgent rank at one of three daemons kept a low first limit while less urgent calls of the others filled the queues.

tests/unit/routing/test_admission.py, test_fair_shares.py and tests/unit/gateway/test_admission.py: 60 passed.

--- a/src/lentildeal/_internal/routing/start_rates.py
+++ b/src/lentildeal/_internal/routing/start_rates.py
@@ -38,9 +38,11 @@
 CHANGE_INTERVAL_S = 0.1
 # A limit rises each second by this part of what all replicas can do.
 INCREASE_PER_S = 0.005
-# While replicas have free slots, it also rises by this factor in an interval,
-# as a few daemons alone would take long; while under half are taken, by the
-# second one.
+# A limit also rises by a factor in an interval, as a few daemons alone would
+# take long: while queues are at most half as long as allowed, so that a more
+# urgent rank displaces a less urgent one that holds them there; while replicas
+# have free slots; and while under half of the slots are taken.
+SHORT_QUEUE_GROWTH = 1.05
 GROWTH = 1.15
 IDLE_GROWTH = 2.0
 # Lowest limit, in calls a second, so that it can rise again.
@@ -173,11 +175,16 @@
         if elapsed_s < CHANGE_INTERVAL_S:
             return
         rate = self._rate + INCREASE_PER_S * capacity_per_s * elapsed_s
+        rate *= self._find_growth(load) ** (elapsed_s / CHANGE_INTERVAL_S)
+        self._change(rate)
+
+    def _find_growth(self, load: platform_base.ReplicaLoad) -> float:
+        """Factor by which the limit rises in an interval."""
         if not load.waiting and load.running < load.slots:
             is_idle = load.running < 0.5 * load.slots
-            growth = IDLE_GROWTH if is_idle else GROWTH
-            rate *= growth ** (elapsed_s / CHANGE_INTERVAL_S)
-        self._change(rate)
+            return IDLE_GROWTH if is_idle else GROWTH
+        is_short = load.waiting <= 0.5 * self.max_queue_share * load.slots
+        return SHORT_QUEUE_GROWTH if is_short else 1.0
 
     def _change(self, rate: float) -> None:
         """Sets the limit; the time until the next start changes with it."""
