Decode the file of a job in the platform's folder

Cause: route explain named a field of the platform outside of its folder, which tests/unit/test_platform_names.py found in the run of the whole suite. Change: platform/job_files.py reads the file. Measured: test_platform_names.py, test_route_explain.py, test_explanations.py and test_reference.py, 212 passed.

--- a/src/lentildeal/_internal/commands/route_explain.py
+++ b/src/lentildeal/_internal/commands/route_explain.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import json
 import pathlib
 import typing
 import urllib.parse
@@ -12,6 +11,7 @@
 
 from lentildeal._internal.cli import base
 from lentildeal._internal.cli import status_codes
+from lentildeal._internal.platform import job_files
 
 PATH = '/v1/route/explain'
 
@@ -78,12 +78,7 @@
         base.UsageError: The file is not the submission of a job.
     """
     try:
-        document = json.loads(base.read_text(path))
-        return {
-            'model': str(document['Model']),
-            'min_version': str(int(document['MinVersion'])),
-            'items': str(len(document['Entries'])),
-        }
+        return job_files.read_placement(base.read_text(path))
     except (ValueError, KeyError, TypeError) as error:
         raise base.UsageError(
             f'{path}: not the submission of a job: {error!r:.100}',
