Ask replicas for their load on the path of status checks, without an id

Cause: before an extra copy a daemon asked a replica without models for its load by a report request with a made-up request id.

--- a/src/lentildeal/_internal/adapters/platform_base.py
+++ b/src/lentildeal/_internal/adapters/platform_base.py
@@ -233,10 +233,14 @@
 
     @abc.abstractmethod
     def get_load(
-        self, replica: deployment.Replica
+        self, replica: deployment.Replica, health_path: str
     ) -> typing.Optional[ReplicaLoad]:
         """Asks a replica for its load, None if it does not report it.
 
+        Args:
+            replica: The replica.
+            health_path: Path of the status checks of its service.
+
         Raises:
             exceptions.PlatformError: The replica did not respond.
         """
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -269,9 +269,12 @@
         at a busy replica costs more than a status check.
         """
         (estimate,) = self._estimate([replica])
-        if estimate.age_s > extra_copies.MAX_REPORT_AGE_S:
+        service = self._directory.text.services.get(replica.service)
+        health_path = '' if service is None else service.health_path
+        is_old = estimate.age_s > extra_copies.MAX_REPORT_AGE_S
+        if is_old and health_path:
             try:
-                load = self._directory.platform.get_load(replica)
+                load = self._directory.platform.get_load(replica, health_path)
             except exceptions.PlatformError:
                 return False
             if load is not None:
--- a/src/lentildeal/_internal/models/deployment.py
+++ b/src/lentildeal/_internal/models/deployment.py
@@ -125,6 +125,7 @@
         max_connections: Maximum number of connections to one replica.
         tokens_per_event: Tokens that an engine sends in one event.
         scaling: Bounds of its ordered replicas, None if none are ordered.
+        health_path: Path of status checks, empty without one.
     """
 
     name: ids.ServiceName
@@ -133,6 +134,7 @@
     max_connections: int
     tokens_per_event: int = 1
     scaling: typing.Optional[Scaling] = None
+    health_path: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -145,12 +145,11 @@
             ) from error
 
     def get_load(
-        self, replica: deployment.Replica
+        self, replica: deployment.Replica, health_path: str
     ) -> typing.Optional[platform_base.ReplicaLoad]:
         """See the base class."""
-        # A replica without models may have no report; the header is on all
-        # its answers.
-        response = self._call(replica, 'GET', names.REPORT_PATH)
+        # The header is on all answers, also on those of an unhealthy replica.
+        response = self._call(replica, 'GET', health_path, has_id=False)
         if response.status == MISDIRECTED_STATUS:
             raise exceptions.PlatformError(
                 f'another replica answers at {replica.address}'
@@ -238,12 +237,15 @@
         method: str,
         path: str,
         value: typing.Any = None,
+        *,
+        has_id: bool = True,
     ) -> http_client.HttpResponse:
         request_id = uuid.uuid4().hex
-        headers = {
-            names.EXPECTED_REPLICA: replica.replica_id,
-            names.REQUEST_ID: request_id,
-        }
+        headers = {names.EXPECTED_REPLICA: replica.replica_id}
+        # A replica without models would take a request with an id for one of
+        # a client.
+        if has_id:
+            headers[names.REQUEST_ID] = request_id
         body = None
         if value is not None:
             body = json.dumps(value).encode()
--- a/src/lentildeal/_internal/platform/documents.py
+++ b/src/lentildeal/_internal/platform/documents.py
@@ -192,6 +192,9 @@
         max_connections=int(_read_amount(service, 'MaxConnections')),
         tokens_per_event=_read_amount(engine, 'Stride') or 1,
         scaling=_decode_scaling(service.get('Scaling')),
+        health_path=http_fields.require_target(
+            service.get('HealthPath') or '/'
+        ).removesuffix('/'),
     )
 
 
--- a/standins/platform/replica.py
+++ b/standins/platform/replica.py
@@ -14,6 +14,7 @@
 ACCOUNT_HEADER = 'Lentildeal-Tenant'
 VERSIONS_HEADER = 'Lentildeal-Weight-Versions'
 LOAD_HEADER = 'Lentildeal-Replica-Load'
+HEALTH_PATH = '/health/load'
 LOAD_DURATION_S = 0.2
 SLOW_WORK_S = 1.0
 # Interval at which a plain request notices that its connection was closed.
@@ -84,6 +85,8 @@
         expected = request.headers.get('lentildeal-expect-instance')
         if expected not in (None, self.arguments.replica_id):
             return common.Response(421)
+        if request.path == HEALTH_PATH:
+            return common.Response(200, dict(self._state_headers))
         if request.path == '/report':
             response = common.json_response(self._make_report())
             response.headers.update(self._state_headers)
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -131,8 +131,19 @@
     """Guards against the error of the next replica within a text.
 
     A stream breaks off, and the replica that should go on answers an error.
+    More attempts are allowed than there are errors, so that no item may be
+    given up.
     """
     world = platform_world.World(launcher, daemons=1)
+    route = platform_world.make_route(
+        'rollouts', '/rollouts/', 'rollout', 'engines'
+    )
+    world.write_text(2, Routes=[{**route, 'MaxAttempts': 7}])
+    (daemon,) = world.daemons
+    processes.wait_for(
+        lambda: daemon.read_events('text_applied')[-1]['version'] == 2,
+        'the text with more attempts',
+    )
     first, second = world.engines
     first.set_faults(cut=4)
     second.set_faults(fail=6)
