Order replicas for the items that may not wait

Cause: the need was the average of 3 s, so that a service of 23 replicas was lowered to 9 while trainers submitted 72 to 80 items each at once.

Change: items may wait for a slot only as long as the longest job of late would still be in time; the need is averaged over 0.5 s; two thirds of the replicas are on demand instead of one third.

--- a/src/lentildeal/_internal/scaling/allocation.py
+++ b/src/lentildeal/_internal/scaling/allocation.py
@@ -11,7 +11,7 @@
 # Share of the replicas that may not be reclaimed, besides the fewest of each
 # failure domain. Replicas of the other kind are lost all at once in a failure
 # domain, and others take some seconds to start.
-LASTING_SHARE = 1 / 3
+LASTING_SHARE = 2 / 3
 # Replicas that a cheaper failure domain may have more than another one.
 PRICE_SLACK = 1
 # Share of the need that is met when a failure domain is lost. Trainers wait
--- a/src/lentildeal/_internal/scaling/need.py
+++ b/src/lentildeal/_internal/scaling/need.py
@@ -14,9 +14,11 @@
 MEMORY_SLOT_S = 2000.0
 # Jobs older than this hold no replicas: their trainers have given up.
 LONGEST_JOB_S = 60.0
-# The need is averaged over this time. A trainer submits a job every 4 s, and
-# the need of each job falls while it is run.
-AVERAGE_S = 3.0
+# The need is averaged over this time. It is short: the items of a job come at
+# once, and each one that waits for a slot may be the longest of its group.
+AVERAGE_S = 0.5
+# Jobs whose durations are kept; the longest counts.
+KEPT_DURATIONS = 20
 # The need is taken to be lower once all averages of this time are lower.
 # Stragglers run for seconds, and trainers pause for seconds between jobs.
 LOWER_AFTER_S = 20.0
@@ -72,10 +74,47 @@
         self._items = max(0.1, kept * self._items + finished)
 
 
-def find_job_slots(jobs: typing.Iterable[OpenJob], item_s: float) -> float:
-    """Slots that finish open jobs when they are due."""
+class JobDuration:
+    """Time that the longest of the last jobs took, from their open times."""
+
+    def __init__(self) -> None:
+        self._open: dict[ids.JobId, float] = {}
+        self._ended_s: collections.deque[float] = collections.deque(
+            maxlen=KEPT_DURATIONS
+        )
+
+    @property
+    def longest_s(self) -> float:
+        """Longest duration, 0 before the first job has ended."""
+        return max(self._ended_s, default=0.0)
+
+    def record(self, jobs: typing.Sequence[OpenJob]) -> None:
+        """Records the jobs that are open."""
+        ages_s = {job.job_id: job.age_s for job in jobs}
+        self._ended_s.extend(
+            age_s
+            for job_id, age_s in self._open.items()
+            if job_id not in ages_s
+        )
+        self._open = ages_s
+
+
+def find_job_slots(
+    jobs: typing.Iterable[OpenJob], item_s: float, longest_s: float = 0.0
+) -> float:
+    """Slots that finish open jobs when they are due.
+
+    The length of an item is not known beforehand, and a group is late with its
+    longest item. Items may only wait for a slot as long as the longest one of
+    them would still be in time.
+
+    Args:
+        jobs: Open jobs.
+        item_s: Usual duration of an item.
+        longest_s: Time that the longest item of a job takes.
+    """
     return sum(
-        job.remaining * item_s / max(item_s, job.due_s - job.age_s)
+        job.remaining * item_s / max(item_s, job.due_s - job.age_s - longest_s)
         for job in jobs
         if job.age_s <= LONGEST_JOB_S
     )
--- a/src/lentildeal/_internal/scaling/plugin.py
+++ b/src/lentildeal/_internal/scaling/plugin.py
@@ -45,6 +45,9 @@
         self._calls = kernel.plugin('duty_calls')
         self._plans: dict[ids.ServiceName, decisions.ScalingPlan] = {}
         self._durations: dict[ids.ServiceName, need_module.ItemDuration] = {}
+        self._job_durations: dict[
+            ids.ServiceName, need_module.JobDuration
+        ] = {}
         self._seen_s: dict[ids.JobId, float] = {}
         self._renewed_s: dict[ids.ServiceName, float] = {}
 
@@ -100,7 +103,13 @@
             service.name, need_module.ItemDuration()
         )
         duration.record(jobs, service.slots * len(ready), CHECK_S)
-        slots = need_module.find_job_slots(jobs, duration.item_s)
+        job_duration = self._job_durations.setdefault(
+            service.name, need_module.JobDuration()
+        )
+        job_duration.record(jobs)
+        slots = need_module.find_job_slots(
+            jobs, duration.item_s, job_duration.longest_s
+        )
         plan.need.record(slots, now_s)
 
     def _list_jobs(
