Split the attempts of a call from the gateway plug-in

Change: gateway/forwarding.py holds the attempts of one call; the result of an attempt stands with calls and responses. No behaviour changes.

--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -5,6 +5,8 @@
 import dataclasses
 import typing
 
+from lentildeal._internal.adapters import platform_base
+from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.utils import clock
 
@@ -75,6 +77,38 @@
     signature: typing.Optional[str] = None
 
 
+class AttemptResult(typing.NamedTuple):
+    """Result of an attempt at a replica.
+
+    Attributes:
+        replica: The replica.
+        response: Its response, None without one.
+        is_not_run: Whether the replica has not run the call.
+        reason: Why the attempt failed, if it did.
+        load: Load that the replica reported.
+        is_sent: Whether anything was sent.
+        has_crashed: Whether the replica went down when it had the call.
+    """
+
+    replica: deployment.Replica
+    response: typing.Optional[LiveResponse]
+    is_not_run: bool
+    reason: str
+    load: typing.Optional[platform_base.ReplicaLoad] = None
+    is_sent: bool = True
+    has_crashed: bool = False
+
+    @property
+    def is_success(self) -> bool:
+        """Whether there is a response that is not a server error."""
+        return self.response is not None and self.response.status < 500
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the replica had no room for the call."""
+        return self.is_not_run and self.reason == 'status 503'
+
+
 def drop_connection_headers(
     headers: typing.Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 import typing
 
 import eventlet
@@ -15,7 +14,7 @@
 from lentildeal._internal.gateway import admission
 from lentildeal._internal.gateway import calls
 from lentildeal._internal.gateway import choice
-from lentildeal._internal.gateway import copies
+from lentildeal._internal.gateway import forwarding
 from lentildeal._internal.gateway import streams
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
@@ -28,11 +27,6 @@
 from lentildeal._internal.routing import replica_bytes
 from lentildeal._internal.utils import clock
 
-# Interval of the checks for a client disconnect. Attempts must end within
-# half a second of one.
-CLIENT_CHECK_INTERVAL_S = 0.1
-# Retry delay returned to callers of a service without usable replicas.
-RETRY_AFTER_S = 0.2
 # Longest wait of a call for its turn at a replica that limits its requests. A
 # call whose turn comes later is refused at once, as it may find one elsewhere.
 MAX_TURN_WAIT_S = 0.1
@@ -49,38 +43,6 @@
 )
 
 
-class AttemptResult(typing.NamedTuple):
-    """Result of an attempt at a replica.
-
-    Attributes:
-        replica: The replica.
-        response: Its response, None without one.
-        is_not_run: Whether the replica has not run the call.
-        reason: Why the attempt failed, if it did.
-        load: Load that the replica reported.
-        is_sent: Whether anything was sent.
-        has_crashed: Whether the replica went down when it had the call.
-    """
-
-    replica: deployment.Replica
-    response: typing.Optional[calls.LiveResponse]
-    is_not_run: bool
-    reason: str
-    load: typing.Optional[platform_base.ReplicaLoad] = None
-    is_sent: bool = True
-    has_crashed: bool = False
-
-    @property
-    def is_success(self) -> bool:
-        """Whether there is a response that is not a server error."""
-        return self.response is not None and self.response.status < 500
-
-    @property
-    def is_full(self) -> bool:
-        """Whether the replica had no room for the call."""
-        return self.is_not_run and self.reason == 'status 503'
-
-
 @plugins.register('gateway', after=('directory', 'replica_limits', 'usage'))
 class Gateway(plugins.Plugin):
     """Chooses replicas for live calls and forwards their responses."""
@@ -121,7 +83,7 @@
             raise exceptions.NotRunError(
                 'no published text is known yet',
                 cause='no_text',
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=forwarding.RETRY_AFTER_S,
             )
         route = text.find_route(host, path)
         if route is None:
@@ -140,7 +102,7 @@
             exceptions.MayHaveRunError: One may have run it.
         """
         started_s = clock.monotonic_s()
-        forwarder = _CallForwarder(self, route, call)
+        forwarder = forwarding.CallForwarder(self, route, call)
         try:
             self._kernel.check_time_left(forwarder.limit_s)
             with self._usage.track(route, call.account):
@@ -312,12 +274,12 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> AttemptResult:
+    ) -> calls.AttemptResult:
         """Sends a call to one replica and reads its response."""
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
         if not self._bytes.has_room(replica_id, len(call.body)):
-            result = AttemptResult(
+            result = calls.AttemptResult(
                 replica,
                 None,
                 True,
@@ -327,7 +289,7 @@
         elif self._limits.acquire(replica_id, MAX_TURN_WAIT_S):
             result = self._send_tracked(replica, route, call, deadline)
         else:
-            result = AttemptResult(
+            result = calls.AttemptResult(
                 replica,
                 None,
                 True,
@@ -351,7 +313,7 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> AttemptResult:
+    ) -> calls.AttemptResult:
         """Records the load and the health that an attempt shows."""
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
@@ -379,7 +341,7 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> AttemptResult:
+    ) -> calls.AttemptResult:
         """Limits the time of an attempt as a whole.
 
         The timeout of each read is not enough: a replica that sends a byte now
@@ -391,13 +353,13 @@
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
-            return AttemptResult(
+            return calls.AttemptResult(
                 replica, None, False, 'no complete response in time'
             )
         except Exception as error:
             # The call waits for the result of each attempt.
             logger.opt(exception=error).error('attempt failed')
-            return AttemptResult(
+            return calls.AttemptResult(
                 replica, None, False, f'internal error: {error!r:.200}'
             )
         finally:
@@ -409,7 +371,7 @@
         route: deployment.Route,
         call: calls.LiveCall,
         deadline: clock.Deadline,
-    ) -> AttemptResult:
+    ) -> calls.AttemptResult:
         is_stream = route.kind is deployment.RouteKind.STREAM
         platform = self._directory.platform
         headers = calls.drop_connection_headers(call.headers)
@@ -432,10 +394,10 @@
                 is_repeatable=route.kind is deployment.RouteKind.SAFE,
             )
         except exceptions.NotRunError as error:
-            return AttemptResult(replica, None, True, error.message)
+            return calls.AttemptResult(replica, None, True, error.message)
         except exceptions.MayHaveRunError as error:
             has_crashed = isinstance(error, exceptions.TargetCrashedError)
-            return AttemptResult(
+            return calls.AttemptResult(
                 replica, None, False, error.message, has_crashed=has_crashed
             )
         is_streaming = False
@@ -444,7 +406,7 @@
             is_streaming = is_stream and result.response is not None
             return result
         except exceptions.TruncatedAnswerError as error:
-            return AttemptResult(replica, None, False, error.message)
+            return calls.AttemptResult(replica, None, False, error.message)
         finally:
             if not is_streaming:
                 response.abandon()
@@ -455,7 +417,7 @@
         route: deployment.Route,
         call: calls.LiveCall,
         response: target_connections.TargetResponse,
-    ) -> AttemptResult:
+    ) -> calls.AttemptResult:
         info = self._directory.platform.read_response(
             response.status, response.headers
         )
@@ -467,16 +429,16 @@
         if info.is_not_run:
             self._limits.record_answer(replica.replica_id, info)
             response.read()
-            return AttemptResult(
+            return calls.AttemptResult(
                 replica, None, True, f'status {response.status}', info.load
             )
         if info.request_id != call.request_id:
-            return AttemptResult(
+            return calls.AttemptResult(
                 replica, None, False, 'response to another request'
             )
         self._limits.record_answer(replica.replica_id, info)
         if 'content-encoding' in response.headers:
-            return AttemptResult(replica, None, False, 'encoded body')
+            return calls.AttemptResult(replica, None, False, 'encoded body')
         headers = calls.drop_connection_headers(response.header_list)
         is_stream = route.kind is deployment.RouteKind.STREAM
         if is_stream and response.status == 200:
@@ -486,7 +448,7 @@
         live_response = calls.LiveResponse(
             response.status, headers, body, info.signature
         )
-        return AttemptResult(
+        return calls.AttemptResult(
             replica,
             live_response,
             False,
@@ -494,7 +456,9 @@
             info.load,
         )
 
-    def _record_health(self, result: AttemptResult, elapsed_s: float) -> None:
+    def _record_health(
+        self, result: calls.AttemptResult, elapsed_s: float
+    ) -> None:
         ready = self._directory.replicas.list_ready(result.replica.service)
         addresses = [replica.address for replica in ready]
         if result.is_success:
@@ -526,213 +490,3 @@
         while True:
             eventlet.sleep(1.0)
             self._connections.close_expired()
-
-
-class _CallForwarder:
-    """Runs the attempts of one call, with retries and hedged requests."""
-
-    def __init__(
-        self, gateway: Gateway, route: deployment.Route, call: calls.LiveCall
-    ) -> None:
-        self._gateway = gateway
-        self._route = route
-        self._call = call
-        self._is_safe = route.kind is deployment.RouteKind.SAFE
-        self._service = choice.choose_service(route.shares, random.random())
-        limit_s = call.deadline.remaining_s
-        if route.timeout_s > 0:
-            limit_s = min(limit_s, route.timeout_s)
-        self._deadline = clock.Deadline(limit_s)
-        self._results: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
-        self._threads: list = []
-        self._running = 0
-        self._may_have_run = False
-        self._has_crashed = False
-        # Attempts that found no turn at their replica.
-        self._unsent = 0
-        self._ticket: typing.Optional[admission.Ticket] = None
-        self._failed_response: typing.Optional[calls.LiveResponse] = None
-        self._copy: typing.Optional[copies.CallCopy] = None
-        if self._is_safe and gateway.copy_policy.is_on:
-            self._copy = copies.CallCopy(
-                gateway.copy_policy, route, call, self._service
-            )
-        self.tried: list[ids.ReplicaId] = []
-        self.choice_fields: dict[typing.Optional[ids.ReplicaId], dict] = {}
-        self.answered_by: typing.Optional[ids.ReplicaId] = None
-
-    @property
-    def limit_s(self) -> float:
-        """Time left for the call, in seconds."""
-        return self._deadline.remaining_s
-
-    def run(self) -> calls.LiveResponse:
-        """Makes attempts until one succeeds or none is left.
-
-        Raises:
-            exceptions.NotRunError: No replica ran it.
-            exceptions.MayHaveRunError: One may have run it.
-        """
-        self._ticket = self._gateway.admission.enter(
-            self._service, self._call, self.limit_s
-        )
-        try:
-            self._start_attempt()
-            hedge_s = choice.get_hedge_delay_s(self._route.objective_s)
-            if self._copy is not None:
-                hedge_s = max(0.0, self._copy.find_wait_s())
-            hedge = clock.Deadline(hedge_s)
-            while self._running:
-                result = self._wait_for_result(hedge)
-                if result is not None and result.is_success:
-                    self.answered_by = result.replica.replica_id
-                    return result.response
-                if result is not None:
-                    self._handle_failure(result)
-                elif self._is_finished():
-                    break
-                elif self._copy is not None:
-                    self._try_copy(self._copy)
-                elif self._is_safe and hedge.has_passed:
-                    hedge = clock.Deadline(hedge_s)
-                    self._start_attempt()
-        finally:
-            for thread in self._threads:
-                thread.kill()
-            if self._copy is not None:
-                self._finish_copy(self._copy)
-            self._gateway.admission.leave(self._ticket)
-        if self._failed_response is not None:
-            return self._failed_response
-        raise self._make_error()
-
-    def _is_finished(self) -> bool:
-        return self._deadline.has_passed or self._call.is_client_gone()
-
-    def _may_try_again(self) -> bool:
-        return len(self.tried) - self._unsent < self._route.max_attempts
-
-    def _start_attempt(self) -> None:
-        if not self._may_try_again() or self._is_finished():
-            return
-        if self._has_crashed:
-            # The call could take down the other replicas one by one.
-            return
-        replica = self._gateway.choose(self._service, self.tried)
-        if replica is None:
-            return
-        self._record_choice(replica.replica_id)
-        self._threads.append(eventlet.spawn(self._run_attempt, replica))
-
-    def _record_choice(self, replica_id: ids.ReplicaId) -> None:
-        self.tried.append(replica_id)
-        self.choice_fields[replica_id] = self._gateway.pop_choice_fields(
-            replica_id
-        )
-        self._running += 1
-
-    def _try_copy(self, copy: copies.CallCopy) -> None:
-        """Sends an extra copy if the call is late and the limits allow it."""
-        attempts = len(self.tried) - self._unsent
-        if attempts >= self._route.max_attempts or self._has_crashed:
-            return
-        if not copy.may_send(self._deadline.remaining_s):
-            return
-        replica = self._gateway.choose(self._service, self.tried)
-        if replica is None:
-            copy.record_denied(extra_copies.Verdict.NO_ROOM)
-            return
-        copy.record_start(replica.replica_id)
-        self._record_choice(replica.replica_id)
-        self._threads.append(eventlet.spawn(self._run_copy, copy, replica))
-
-    def _run_copy(
-        self, copy: copies.CallCopy, replica: deployment.Replica
-    ) -> None:
-        try:
-            has_room = self._gateway.has_room_for_copy(replica)
-        except Exception as error:
-            # The call would wait for this copy until its deadline.
-            logger.opt(exception=error).error('status check failed')
-            has_room = False
-        if has_room:
-            copy.record_sent(self.tried[0])
-            self._run_attempt(replica)
-            return
-        copy.record_unsent()
-        reason = 'no room for an extra copy'
-        self._results.put(
-            AttemptResult(replica, None, True, reason, is_sent=False)
-        )
-
-    def _finish_copy(self, copy: copies.CallCopy) -> None:
-        copy.finish(self.answered_by)
-        if copy.is_won:
-            self._gateway.record_overtaken(self.tried[0], copy.elapsed_s)
-
-    def _run_attempt(self, replica: deployment.Replica) -> None:
-        self._results.put(
-            self._gateway.attempt(
-                replica, self._route, self._call, self._deadline
-            )
-        )
-
-    def _wait_for_result(
-        self, hedge: clock.Deadline
-    ) -> typing.Optional[AttemptResult]:
-        wait_s = min(CLIENT_CHECK_INTERVAL_S, self._deadline.remaining_s)
-        if not hedge.has_passed:
-            wait_s = min(wait_s, hedge.remaining_s)
-        try:
-            result = self._results.get(timeout=max(0.001, wait_s))
-        except eventlet.queue.Empty:
-            return None
-        self._running -= 1
-        return result
-
-    def _handle_failure(self, result: AttemptResult) -> None:
-        if not result.is_sent:
-            self._unsent += 1
-        self._has_crashed |= result.has_crashed
-        if not result.is_not_run:
-            self._may_have_run = True
-            self._failed_response = result.response or self._failed_response
-        elif result.is_sent and 'no connection' not in result.reason:
-            self._gateway.copy_policy.record_refusal(self._service)
-        if self._running and self._is_copy(result):
-            # The first attempt goes on; the copy is not replaced.
-            return
-        if self._ticket is not None and self._is_only_refused(result):
-            self._gateway.admission.enter_again(self._service, self._ticket)
-        if result.is_not_run or self._is_safe:
-            self._start_attempt()
-
-    def _is_copy(self, result: AttemptResult) -> bool:
-        if self._copy is None:
-            return False
-        return result.replica.replica_id == self._copy.replica_id
-
-    def _is_only_refused(self, result: AttemptResult) -> bool:
-        """Whether the call may wait as if it had just arrived."""
-        has_begun = self._running or self._may_have_run
-        return result.is_full and not has_begun and self._may_try_again()
-
-    def _make_error(self) -> exceptions.LentildealError:
-        if self._may_have_run or self._running:
-            return exceptions.MayHaveRunError(
-                f'no response after {len(self.tried)} attempts'
-            )
-        wait_s = self._gateway.find_limit_wait_s(self._service)
-        if wait_s > 0.0:
-            return exceptions.NotRunError(
-                f'the request limits of {self._service} leave no room',
-                cause='rate_limited',
-                retry_after_s=max(RETRY_AFTER_S, round(wait_s, 3)),
-            )
-        return exceptions.NotRunError(
-            f'no replica of {self._service} accepted the call',
-            cause='no_replica',
-            retry_after_s=self._gateway.admission.find_retry_after_s(
-                self._ticket, RETRY_AFTER_S
-            ),
-        )
--- a/src/lentildeal/_internal/jobs/scoring.py
+++ b/src/lentildeal/_internal/jobs/scoring.py
@@ -199,7 +199,7 @@
         self,
         task: tasks.ItemTask,
         scoring: _TaskScoring,
-        result: gateway_plugin.AttemptResult,
+        result: gateway_calls.AttemptResult,
         outcome: calls.AttemptOutcome,
     ) -> None:
         if outcome is calls.AttemptOutcome.SCORED:
@@ -252,7 +252,7 @@
 
 
 def _classify(
-    result: gateway_plugin.AttemptResult,
+    result: gateway_calls.AttemptResult,
 ) -> calls.AttemptOutcome:
     response = result.response
     if response is None:
--- a/tests/unit/gateway/test_admission.py
+++ b/tests/unit/gateway/test_admission.py
@@ -88,11 +88,11 @@
     def _send(self, replica, _route, call, _deadline):
         self.sent.append((call.request_id, replica.replica_id))
         if replica.replica_id in self.full:
-            return plugin.AttemptResult(
+            return calls.AttemptResult(
                 replica, None, True, 'status 503', LONG_QUEUE
             )
         response = calls.LiveResponse(200, (), b'')
-        return plugin.AttemptResult(
+        return calls.AttemptResult(
             replica, response, False, 'status 200', self.load
         )
 
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -64,7 +64,7 @@
         if replica.replica_id in failing:
             raise error
         response = calls.LiveResponse(200, (), b'')
-        return plugin.AttemptResult(replica, response, False, 'status 200')
+        return calls.AttemptResult(replica, response, False, 'status 200')
 
     monkeypatch.setattr(gateway, '_send', send)
     return gateway, sent
@@ -152,7 +152,7 @@
         eventlet.sleep(0.1)
         running.clear()
         response = calls.LiveResponse(200, (), b'')
-        return plugin.AttemptResult(replica, response, False, 'status 200')
+        return calls.AttemptResult(replica, response, False, 'status 200')
 
     monkeypatch.setattr(gateway, '_send', send)
     call = dataclasses.replace(make_call(), body=b'x' * (limit_bytes // 2 + 1))
@@ -186,7 +186,7 @@
 
     def send(replica, *_):
         eventlet.sleep(0.1)
-        return plugin.AttemptResult(replica, None, False, 'broken')
+        return calls.AttemptResult(replica, None, False, 'broken')
 
     def fail(_replica):
         raise LookupError('unexpected')
--- a/tests/unit/jobs/test_scoring.py
+++ b/tests/unit/jobs/test_scoring.py
@@ -9,7 +9,7 @@
 
 from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.gateway import calls as gateway_calls
-from lentildeal._internal.gateway import plugin as gateway_plugin
+from lentildeal._internal.gateway import calls
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
 from lentildeal._internal.models import deployment
@@ -50,14 +50,14 @@
     def answer(self, attempt, status, signature='signature', load=None):
         response = gateway_calls.LiveResponse(status, (), b'', signature)
         attempt.end.send(
-            gateway_plugin.AttemptResult(
+            calls.AttemptResult(
                 attempt.replica, response, False, f'status {status}', load
             )
         )
 
     def fail(self, attempt, is_not_run=False):
         attempt.end.send(
-            gateway_plugin.AttemptResult(
+            calls.AttemptResult(
                 attempt.replica, None, is_not_run, 'no response'
             )
         )
