Wait for a usage report at the end of a soak run

By its logs the store was away in 8 of the 11 s of the run, and the report of a window is due 10 s after its end, so that none was due yet.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -110,6 +110,10 @@
             checker.check_limit(
                 limit, self._disrupted.get(limit.replica.name, ())
             )
+        with contextlib.suppress(TimeoutError):
+            # The store may have been away until now, and a report is due 10 s
+            # after its window; none in this time is a violation.
+            processes.wait_for(self._read_reports, 'a report of a window')
         checker.check_reports(self._read_reports())
         for daemon in self.daemons:
             checker.check_memory(daemon.name, daemon.pid, MAX_DAEMON_MB)
