--- a/src/lentildeal/_internal/gateway/calls.py
+++ b/src/lentildeal/_internal/gateway/calls.py
@@ -98,6 +98,13 @@
     is_sent: bool = True
     has_crashed: bool = False
 
+    @classmethod
+    def make_unsent(
+        cls, replica: deployment.Replica, reason: str
+    ) -> AttemptResult:
+        """Makes the result of an attempt of which nothing was sent."""
+        return cls(replica, None, True, reason, is_sent=False)
+
     @property
     def is_success(self) -> bool:
         """Whether there is a response that is not a server error."""
--- a/src/lentildeal/_internal/gateway/forwarding.py
+++ b/src/lentildeal/_internal/gateway/forwarding.py
@@ -164,9 +164,10 @@
             self._run_attempt(replica)
             return
         copy.record_unsent()
-        reason = 'no room for an extra copy'
         self._results.put(
-            calls.AttemptResult(replica, None, True, reason, is_sent=False)
+            calls.AttemptResult.make_unsent(
+                replica, 'no room for an extra copy'
+            )
         )
 
     def _finish_copy(self, copy: copies.CallCopy) -> None:
--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -279,22 +279,14 @@
         replica_id = replica.replica_id
         started_s = clock.monotonic_s()
         if not self._bytes.has_room(replica_id, len(call.body)):
-            result = calls.AttemptResult(
-                replica,
-                None,
-                True,
-                'bodies in progress leave no room',
-                is_sent=False,
+            result = calls.AttemptResult.make_unsent(
+                replica, 'bodies in progress leave no room'
             )
         elif self._limits.acquire(replica_id, MAX_TURN_WAIT_S):
             result = self._send_tracked(replica, route, call, deadline)
         else:
-            result = calls.AttemptResult(
-                replica,
-                None,
-                True,
-                'its request limit leaves no room',
-                is_sent=False,
+            result = calls.AttemptResult.make_unsent(
+                replica, 'its request limit leaves no room'
             )
         elapsed_s = clock.monotonic_s() - started_s
         if not result.is_success:
--- a/src/lentildeal/_internal/routing/finish_times.py
+++ b/src/lentildeal/_internal/routing/finish_times.py
@@ -28,9 +28,9 @@
 LOAD_RISK = 0.5
 # Replicas whose expected finish differs by less than this share of the best
 # one count as near-equal, and the choice among them is random. Daemons that
-# act on the same reports would otherwise all choose the same replica.
+# act on the same reports would otherwise all choose the same replica. Farther
+# ones are left out: distance is known, load only estimated.
 NEAR_EQUAL_SHARE = 0.4
-# Farther ones are left out: distance is known, load only estimated.
 # Weight of the usual work factor 1.0 among the reported ones, in reports.
 USUAL_WEIGHT = 0.1
 
