Count turns of the hub instead of milliseconds in a test of idle calls

Cause: the test measures that no call waits by the time that passes, which also passes while the process has no processor.

Ruled out: a wait in the gateway. All four calls are sent in the turns of their own threads.

Change: the test counts turns of the hub. A call that waits for any timer is not sent in four turns, so the check is stricter than the 5 ms before.

With a wait of 2 ms in Gateway.forward 10 of 10 fail.

--- a/tests/unit/gateway/test_admission.py
+++ b/tests/unit/gateway/test_admission.py
@@ -19,6 +19,9 @@
 
 LONG_QUEUE = platform_base.ReplicaLoad(4, 20, 4)
 IDLE = platform_base.ReplicaLoad(0, 0, 4)
+# Turns in which a call that waits for nothing is sent: its own thread, the one
+# of its attempt, and as many to spare.
+SENDING_TURNS = 4
 ROUTE = job_builders.make_route(
     kind=deployment.RouteKind.UNSAFE, timeout_s=5.0
 )
@@ -156,7 +159,9 @@
 def test_calls_of_an_idle_service_are_sent_at_once(world):
     # Guards against extra calls, and a wait in calls that need none.
     started = [world.start(number) for number in range(4)]
-    eventlet.sleep(0.005)
+    # A call that waits for a timer is not sent within some turns of the hub.
+    for _ in range(SENDING_TURNS):
+        eventlet.sleep(0)
     assert len(world.sent) == 4
     store_kernel.wait_for(lambda: all(c.outcome for c in started))
     assert len(world.sent) == 4
