Read records of other releases, and check the types of their fields

A field of another type ended each round of all jobs.

Cause: decode passed all fields to the dataclass of a record, so that one field more was an error and no type was checked.

Ruled out: the messages between stand-alone daemons, which drop unknown fields, and their logs, which skip records that they can't read.

Change: fields are checked against the dataclass, appended ones are ignored, also in heads, items and renewals; an unknown state of a result keeps its position; records of unknown types are counted and named once; an error of a handler ends neither the reader nor a caller's sync.

--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -87,6 +87,12 @@
     default_remedy = 'correct the program that wrote the record'
 
 
+class UnknownRecordTypeError(UnreadableRecordError):
+    """A record is of a type that this release does not know."""
+
+    default_remedy = 'none is needed while releases are being replaced'
+
+
 class FenceRejectedError(PlatformError):
     """A target rejected an order because it has seen a newer token."""
 
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -12,6 +12,7 @@
 import msgpack
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import record_fields
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import hashing
@@ -27,6 +28,10 @@
 _CLASSES: dict[int, type] = {}
 _NUMBERS: dict[type, int] = {}
 
+_SCORING_FIELD = [f.name for f in dataclasses.fields(jobs.Item)].index(
+    'scoring'
+)
+
 
 class RecordLocation(typing.NamedTuple):
     """Location of a text in a text stream.
@@ -88,8 +93,23 @@
 
     @property
     def job_head(self) -> jobs.JobHead:
-        """The job without its items."""
-        return jobs.JobHead(*self.head)
+        """The job without its items.
+
+        Raises:
+            exceptions.UnreadableRecordError: The fields are not those of a
+                job, or do not fit together.
+        """
+        head = record_fields.read_fields(jobs.JobHead, self.head)
+        if head.item_count != len(self.item_ids):
+            raise exceptions.UnreadableRecordError(
+                f'job {head.job_id} of {head.item_count} items has'
+                f' {len(self.item_ids)} item ids'
+            )
+        if not self.parts or self.parts[0][0] != 0:
+            raise exceptions.UnreadableRecordError(
+                f'job {head.job_id} lacks the location of its first item'
+            )
+        return head
 
 
 @register_record(2)
@@ -320,7 +340,10 @@
 
     def iter_results(self) -> typing.Iterator[ItemResult]:
         """Yields the results in order of their positions."""
-        return (ItemResult(self.job_id, *fields) for fields in self.results)
+        return (
+            record_fields.read_fields(ItemResult, (self.job_id, *fields))
+            for fields in self.results
+        )
 
 
 # Records of the text streams.
@@ -332,7 +355,16 @@
     items: tuple
 
     def get_item(self, position: int) -> jobs.Item:
-        """Returns the item at a position of this part."""
+        """Returns the item at a position of this part.
+
+        Raises:
+            exceptions.UnreadableRecordError: There is no such item, or its
+                fields are not those of an item.
+        """
+        if not 0 <= position < len(self.items):
+            raise exceptions.UnreadableRecordError(
+                f'a part of {len(self.items)} items has no item {position}'
+            )
         return _decode_item(self.items[position])
 
     def iter_items(self) -> typing.Iterator[jobs.Item]:
@@ -442,17 +474,24 @@
     """Decodes a record.
 
     Raises:
-        exceptions.UnreadableRecordError: The bytes are not a known record.
+        exceptions.UnknownRecordTypeError: A newer release may have written
+            the record.
+        exceptions.UnreadableRecordError: The bytes are not a record.
     """
     try:
         number, *fields = msgpack.unpackb(
             body, use_list=False, unicode_errors='surrogateescape'
         )
-        return _CLASSES[number](*fields)
-    except (ValueError, KeyError, TypeError, msgpack.UnpackException) as error:
+        cls = _CLASSES.get(number)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise exceptions.UnreadableRecordError(
             f'cannot decode record of {len(body)} bytes: {error}'
         ) from error
+    if cls is None:
+        raise exceptions.UnknownRecordTypeError(
+            f'records of type {number!r:.50} are not known to this release'
+        )
+    return record_fields.read_fields(cls, fields)
 
 
 def _encode_item(item: jobs.Item) -> tuple:
@@ -462,11 +501,12 @@
 
 
 def _decode_item(fields: tuple) -> jobs.Item:
-    item = jobs.Item(*fields)
-    if item.scoring is None:
-        return item
-    scoring = jobs.ScoringRequest(*item.scoring)
-    return dataclasses.replace(item, scoring=scoring)
+    values = list(fields) if isinstance(fields, tuple) else []
+    if len(values) > _SCORING_FIELD and values[_SCORING_FIELD] is not None:
+        values[_SCORING_FIELD] = record_fields.read_fields(
+            jobs.ScoringRequest, values[_SCORING_FIELD]
+        )
+    return record_fields.read_fields(jobs.Item, values)
 
 
 def split_items(
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -283,6 +283,7 @@
             # The renewal lacks a result or the end; the next one has it.
             return False
         entry = self._jobs.get(job_id)
+        results = list(renewal.iter_results())
         if entry is None:
             if renewal.read_until < self._read_from - 1:
                 # A record that was not read may be missing in the renewal.
@@ -290,16 +291,11 @@
             self._text_versions[job_id] = renewal.text_version
             self._apply_job(renewal.accepted)
             entry = self._jobs[job_id]
-            for record in renewal.iter_results():
+            for record in results:
                 self._apply_result(entry, record)
         else:
             entry.set_parts(renewal.parts)
-            entry.replace_results(
-                [
-                    _make_result(entry, record)
-                    for record in renewal.iter_results()
-                ]
-            )
+            entry.replace_results([_make_result(entry, r) for r in results])
         entry.renewal_count += 1
         return True
 
@@ -347,8 +343,17 @@
         )
     return ListedResult(
         record.index,
-        jobs.ResultState(record.state),
+        _read_state(record.state),
         record.versions,
         location,
         record.score,
     )
+
+
+def _read_state(value: str) -> jobs.ResultState:
+    try:
+        return jobs.ResultState(value)
+    except ValueError:
+        # A state of a newer release. Without the result, all later ones would
+        # have other positions here than at the daemons of that release.
+        return jobs.ResultState.GIVEN_UP
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -6,6 +6,7 @@
 import typing
 
 import eventlet
+from loguru import logger
 import prometheus_client
 
 from lentildeal._internal import exceptions
@@ -54,6 +55,11 @@
 _appends_total = prometheus_client.Counter(
     'lentildeal_work_log_appends_total', 'Appends by outcome.', ['outcome']
 )
+_ignored_total = prometheus_client.Counter(
+    'lentildeal_work_log_records_ignored_total',
+    'Records of the work log that had no effect, by reason.',
+    ['reason'],
+)
 
 
 @plugins.register('work_log', after=('directory',))
@@ -78,6 +84,8 @@
         self._append_timeout = append_timeout.AppendTimeout()
         self._queue = append_queue.AppendQueue(self, self._settings.call_bytes)
         self._handlers: dict[type, typing.Callable[[typing.Any], None]] = {}
+        # Reasons for which records of unknown types were ignored.
+        self._unknown_types: set[str] = set()
 
     @property
     def read_until(self) -> ids.Offset:
@@ -428,10 +436,23 @@
     def _apply(self, offset: ids.Offset, body: bytes) -> bool:
         try:
             return self._apply_record(offset, records.decode(body))
+        except exceptions.UnknownRecordTypeError as error:
+            reason = error.message
+            _ignored_total.labels('unknown_type').inc()
+            # A newer release may write many of them.
+            if reason in self._unknown_types:
+                return False
+            self._unknown_types.add(reason)
         except exceptions.UnreadableRecordError as error:
             reason = error.message
-        except (TypeError, ValueError, AttributeError) as error:
-            reason = f'fields of another type: {error!r:.200}'
+            _ignored_total.labels('unreadable').inc()
+        except Exception as error:
+            # All daemons read the record, and none could read on.
+            reason = f'not applied: {error!r:.200}'
+            _ignored_total.labels('failed').inc()
+            logger.opt(exception=error).error(
+                'record {} was not applied', offset
+            )
         events.emit(
             'record_ignored',
             stream=records.WORK_STREAM,
