Contain an unexpected error of one item, record or service

What callers saw: one item whose decision raised kept all other items of all jobs from being started, checked and given up. An item whose result failed to be written had no result at all. A record that can't be encoded took the results of its whole batch with it. Shown by tests, not seen in operation.

Cause: the scheduler, the append queue, scaling and the orders go through all items, records and services in one loop without a boundary between them.

Ruled out: a restart of the task as the cure, which meets the same item again.

Change: each item, service and step of a round has a boundary; the error is counted and logged once in ten seconds; the item is delayed and given up after five seconds of such errors. Items count as done once their result is queued. A batch goes back to the queue without the records that can't be encoded.

The attempts of test_runner.py moved to tests/lib.

--- a/src/lentildeal/_internal/jobs/append_queue.py
+++ b/src/lentildeal/_internal/jobs/append_queue.py
@@ -11,6 +11,8 @@
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import records
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
+from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import wakeup
@@ -105,7 +107,7 @@
                 if not self._queue:
                     continue
                 eventlet.sleep(BATCH_DELAY_S)
-            remaining = self._append_batch(self._pop_batch())
+            remaining = self._append_or_isolate(self._pop_batch())
             self._queue.extendleft(reversed(remaining))
             if remaining:
                 eventlet.sleep(delays.next_delay_s())
@@ -125,6 +127,57 @@
             batch.append(self._queue.popleft())
         return batch
 
+    def _append_or_isolate(
+        self, batch: list[_QueuedRecord]
+    ) -> list[_QueuedRecord]:
+        """Appends a batch and returns the records to retry.
+
+        One record that can't be encoded must not cost the others, which
+        nobody would enqueue again.
+        """
+        try:
+            return self._append_batch(batch)
+        except Exception as error:
+            failures.report('append', f'{len(batch)} records', error)
+        remaining = []
+        for queued in batch:
+            defect = _find_defect(queued)
+            if defect is None:
+                remaining.append(queued)
+            else:
+                remaining.extend(self._replace_defective(queued, defect))
+        return remaining
+
+    def _replace_defective(
+        self, queued: _QueuedRecord, error: Exception
+    ) -> list[_QueuedRecord]:
+        """Drops a record that can't be appended.
+
+        Returns:
+            In place of a result, that the item was given up: a trainer waits
+            for each result.
+        """
+        record = queued.record
+        events.emit(
+            'record_dropped',
+            record=type(record).__name__,
+            reason=f'{error!r:.200}',
+            job=getattr(record, 'job_id', None),
+            index=getattr(record, 'index', None),
+        )
+        if not isinstance(record, records.ItemResult):
+            return []
+        substitute = _QueuedRecord(
+            records.ItemResult(
+                record.job_id,
+                record.index,
+                jobs.ResultState.GIVEN_UP.value,
+                (),
+            ),
+            None,
+        )
+        return [] if _find_defect(substitute) else [substitute]
+
     def _append_batch(self, batch: list[_QueuedRecord]) -> list[_QueuedRecord]:
         """Appends a batch and returns the records to retry.
 
@@ -197,5 +250,16 @@
             batch[number] = _QueuedRecord(record, None)
 
 
+def _find_defect(queued: _QueuedRecord) -> typing.Optional[Exception]:
+    """Returns the error of encoding a record or its text, None without one."""
+    try:
+        records.encode(queued.record)
+        if queued.events is not None:
+            records.encode(records.EventTexts(queued.events))
+    except Exception as error:
+        return error
+    return None
+
+
 def _emit_retry(count: int, error: exceptions.PlatformError) -> None:
     events.emit('append_retried', records=count, reason=error.message)
--- a/src/lentildeal/_internal/jobs/recording.py
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -35,7 +35,6 @@
         score: str = '',
     ) -> None:
         """Enqueues the result of an item and marks the item as done."""
-        task.is_done = True
         if not self._log.can_store(progress.events):
             self._emit_too_large(task, progress)
             state, progress, score = (
@@ -51,6 +50,8 @@
             score=score,
         )
         self._log.enqueue(record, progress.events or None)
+        # Not before: an item without a result in the queue still has to run.
+        task.is_done = True
         elapsed_s = clock.monotonic_s() - task.created_s
         _items_total.labels(state.value).inc()
         _item_seconds.observe(elapsed_s)
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -23,6 +23,7 @@
 from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
@@ -41,6 +42,8 @@
 # Generating fewer events again costs less than a checkpoint.
 CHECKPOINT_MIN_EVENTS = 15
 OPEN_RETRY_S = 0.2
+# Time for which an item may fail with unexpected errors until it is given up.
+MAX_FAILING_S = 5.0
 
 _attempts_total = prometheus_client.Counter(
     'lentildeal_item_attempts_total',
@@ -101,20 +104,31 @@
     def run(self) -> None:
         """Schedules items in an endless loop."""
         while True:
-            self._close_finished()
-            if not self._is_draining:
-                self._open_new()
-                self._check_attempts()
-                self._give_up_overdue()
-                self._assign_waiting()
-                self._score_generated()
-                self._save_progress()
-                self._renewer.start_due(self._iter_held_entries())
-            self._connections.close_expired()
+            for step in self._list_steps():
+                try:
+                    step()
+                except Exception as error:
+                    failures.report(step.__name__.strip('_'), 'jobs', error)
             self._wakeup.wait(
                 POLL_INTERVAL_S if self._jobs else IDLE_POLL_INTERVAL_S
             )
 
+    def _list_steps(self) -> tuple[typing.Callable[[], None], ...]:
+        """Steps of one round, in order."""
+        if self._is_draining:
+            return self._close_finished, self._connections.close_expired
+        return (
+            self._close_finished,
+            self._open_new,
+            self._check_attempts,
+            self._give_up_overdue,
+            self._assign_waiting,
+            self._score_generated,
+            self._save_progress,
+            self._renew_held,
+            self._connections.close_expired,
+        )
+
     def wake_on_changes(self, source: wakeup.Wakeup) -> None:
         """Wakes the scheduler after each signal of a source, endlessly."""
         while True:
@@ -124,16 +138,48 @@
     def drain(self) -> None:
         """Saves all progress and stops all attempts before a planned stop."""
         self._is_draining = True
-        for job in list(self._jobs.values()):
-            for task in job.iter_tasks():
-                self._stop_work(task)
-                self._recorder.save_checkpoint(task, 1)
+        self._for_each('drain', self._save_and_stop, self._iter_tasks())
         self._jobs.clear()
 
+    # Errors of single items.
+
+    def _for_each(
+        self,
+        work: str,
+        function: typing.Callable[[tasks.ItemTask], None],
+        found: typing.Iterable[tasks.ItemTask],
+    ) -> None:
+        """Calls a function for each item.
+
+        An unexpected error of one item must not keep the others from running.
+        """
+        for task in found:
+            try:
+                function(task)
+            except Exception as error:
+                self._handle_internal_error(work, task, error)
+
+    def _handle_internal_error(
+        self, work: str, task: tasks.ItemTask, error: Exception
+    ) -> None:
+        """Delays an item after an unexpected error; gives it up in the end.
+
+        An error that comes from the item comes back with each attempt, and
+        its trainer would wait for a result in vain.
+        """
+        failures.report(work, task.item.item_id, error)
+        failing_s = task.record_internal_error()
+        if task.is_done or task.attempt or failing_s < MAX_FAILING_S:
+            return
+        self._scorer.stop(task)
+        self._recorder.list_result(
+            task, jobs.ResultState.GIVEN_UP, jobs.Progress()
+        )
+
     # Opening and closing of jobs.
 
     def _open_new(self) -> None:
-        for entry in self._log.table.iter_open():
+        for entry in list(self._log.table.iter_open()):
             if entry.head.job_id in self._jobs:
                 continue
             if self._holds_lease(entry.head.model) and self._has_text(entry):
@@ -159,11 +205,14 @@
             )
             if job.entry.is_open and not is_lost:
                 continue
-            for task in job.iter_tasks():
-                self._stop_work(task)
-                if not is_lost:
-                    # The group may be submitted again in a later job.
-                    self._recorder.save_checkpoint(task, 1)
+            own = list(job.iter_tasks())
+            # The group may be submitted again in a later job.
+            self._for_each(
+                'close',
+                self._stop_work if is_lost else self._save_and_stop,
+                own,
+            )
+            for task in own:
                 task.is_done = True
             if job.tasks is not None or is_lost:
                 self._renewer.forget(job_id)
@@ -250,9 +299,9 @@
         route = self._find_route(task)
         return route is not None and route.is_single_version
 
-    def _iter_held_entries(self) -> typing.Iterator[table.JobEntry]:
-        """Yields the jobs whose lease this daemon holds."""
-        return (
+    def _renew_held(self) -> None:
+        """Renews the jobs whose lease this daemon holds."""
+        self._renewer.start_due(
             job.entry
             for job in self._jobs.values()
             if self._holds_lease(job.entry.head.model)
@@ -318,28 +367,32 @@
         )
 
     def _check_attempts(self) -> None:
+        self._for_each(
+            'check_attempt', self._check_attempt, self._iter_tasks()
+        )
+
+    def _check_attempt(self, task: tasks.ItemTask) -> None:
+        attempt = task.attempt
+        if attempt is None:
+            return
         now_s = clock.monotonic_s()
-        for task in self._iter_tasks():
-            attempt = task.attempt
-            if attempt is None:
-                continue
-            replica_id = attempt.replica.replica_id
-            has_new_data = now_s - attempt.last_received_s < POLL_INTERVAL_S
-            if attempt.run_events > 0 and has_new_data:
-                self._replica_tracker.record_event(replica_id)
-            pace_s = self._pace_tracker.get(replica_id)
-            if scheduling.is_unresponsive(
-                silence_s=now_s - attempt.last_received_s,
-                has_event=attempt.run_events > 0,
-                pace_s=pace_s,
-            ):
-                self._replica_tracker.record_failure(replica_id)
-                self._move(task, 'silent')
-                continue
-            faster = self._find_faster_replica(task, attempt)
-            if faster is not None:
-                self._move(task, 'slow')
-                self._start_attempt(task, faster)
+        replica_id = attempt.replica.replica_id
+        has_new_data = now_s - attempt.last_received_s < POLL_INTERVAL_S
+        if attempt.run_events > 0 and has_new_data:
+            self._replica_tracker.record_event(replica_id)
+        pace_s = self._pace_tracker.get(replica_id)
+        if scheduling.is_unresponsive(
+            silence_s=now_s - attempt.last_received_s,
+            has_event=attempt.run_events > 0,
+            pace_s=pace_s,
+        ):
+            self._replica_tracker.record_failure(replica_id)
+            self._move(task, 'silent')
+            return
+        faster = self._find_faster_replica(task, attempt)
+        if faster is not None:
+            self._move(task, 'slow')
+            self._start_attempt(task, faster)
 
     def _find_faster_replica(
         self, task: tasks.ItemTask, attempt: attempts.Attempt
@@ -377,39 +430,43 @@
         )
 
     def _give_up_overdue(self) -> None:
-        now_ms = clock.unix_s() * 1000
-        for task in self._iter_tasks():
-            route = self._find_route(task)
-            # An item whose route was removed is given up as well.
-            if route is None:
-                is_overdue = self._directory.text is not None
-            else:
-                age_ms = now_ms - task.entry.head.submitted_ms
-                is_overdue = age_ms > 1000 * route.max_item_age_s
-            if is_overdue:
-                self._stop_work(task)
-                self._recorder.list_result(
-                    task, jobs.ResultState.GIVEN_UP, jobs.Progress()
-                )
+        self._for_each('give_up', self._give_up_if_overdue, self._iter_tasks())
+
+    def _give_up_if_overdue(self, task: tasks.ItemTask) -> None:
+        route = self._find_route(task)
+        # An item whose route was removed is given up as well.
+        if route is None:
+            is_overdue = self._directory.text is not None
+        else:
+            age_ms = clock.unix_s() * 1000 - task.entry.head.submitted_ms
+            is_overdue = age_ms > 1000 * route.max_item_age_s
+        if is_overdue:
+            self._stop_work(task)
+            self._recorder.list_result(
+                task, jobs.ResultState.GIVEN_UP, jobs.Progress()
+            )
 
     def _assign_waiting(self) -> None:
-        for task in open_jobs.sort_waiting(self._jobs.values()):
-            if not self._holds_lease(task.entry.head.model):
-                continue
-            route = self._find_route(task)
-            if route is None:
-                continue
-            requirements = task.make_requirements(route.is_single_version)
-            candidates = self._list_candidates(route, task.entry.head.model)
-            chosen = scheduling.choose_replica(requirements, candidates)
+        waiting = open_jobs.sort_waiting(self._jobs.values())
+        self._for_each('assign', self._assign, waiting)
+
+    def _assign(self, task: tasks.ItemTask) -> None:
+        if not self._holds_lease(task.entry.head.model):
+            return
+        route = self._find_route(task)
+        if route is None:
+            return
+        requirements = task.make_requirements(route.is_single_version)
+        candidates = self._list_candidates(route, task.entry.head.model)
+        chosen = scheduling.choose_replica(requirements, candidates)
+        if chosen is None or chosen.is_avoided:
+            chosen = scheduling.choose_for_restart(
+                requirements, candidates, task.record_blocked()
+            )
             if chosen is None or chosen.is_avoided:
-                chosen = scheduling.choose_for_restart(
-                    requirements, candidates, task.record_blocked()
-                )
-                if chosen is None or chosen.is_avoided:
-                    continue
-                self._discard_progress(task, requirements.required_version)
-            self._start_attempt(task, chosen)
+                return
+            self._discard_progress(task, requirements.required_version)
+        self._start_attempt(task, chosen)
 
     def _discard_progress(
         self, task: tasks.ItemTask, version: ids.Version
@@ -424,10 +481,14 @@
         task.progress = jobs.Progress()
 
     def _score_generated(self) -> None:
-        self._scorer.start_due(
-            task
-            for task in open_jobs.sort_unscored(self._jobs.values())
-            if self._holds_lease(task.entry.head.model)
+        self._for_each(
+            'score',
+            self._scorer.start_if_due,
+            (
+                task
+                for task in open_jobs.sort_unscored(self._jobs.values())
+                if self._holds_lease(task.entry.head.model)
+            ),
         )
 
     # Attempts.
@@ -489,7 +550,12 @@
         task.progress = attempt.progress
         self._replica_tracker.record_end(attempt.replica.replica_id)
         _attempts_total.labels(outcome.value).inc()
-        self._handle_outcome(task, attempt, outcome)
+        try:
+            self._handle_outcome(task, attempt, outcome)
+        except Exception as error:
+            self._handle_internal_error('attempt', task, error)
+        else:
+            task.clear_internal_errors()
         self._wakeup.set()
 
     def _stop_work(self, task: tasks.ItemTask) -> None:
@@ -498,6 +564,10 @@
             task.progress = self._stop_attempt(task)
         self._scorer.stop(task)
 
+    def _save_and_stop(self, task: tasks.ItemTask) -> None:
+        self._stop_work(task)
+        self._recorder.save_checkpoint(task, 1)
+
     def _stop_attempt(self, task: tasks.ItemTask) -> jobs.Progress:
         """Stops an attempt at once and returns its progress."""
         attempt, task.attempt = task.attempt, None
@@ -574,8 +644,13 @@
         if now_s - self._checkpointed_s < CHECKPOINT_S:
             return
         self._checkpointed_s = now_s
-        for task in self._iter_tasks():
-            self._recorder.save_checkpoint(task, CHECKPOINT_MIN_EVENTS)
+        self._for_each(
+            'checkpoint',
+            lambda task: self._recorder.save_checkpoint(
+                task, CHECKPOINT_MIN_EVENTS
+            ),
+            self._iter_tasks(),
+        )
 
 
 def _elapsed_ms(since_s: float) -> int:
--- a/src/lentildeal/_internal/jobs/scoring.py
+++ b/src/lentildeal/_internal/jobs/scoring.py
@@ -15,6 +15,7 @@
 from lentildeal._internal.jobs import recording
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
@@ -64,25 +65,22 @@
             collections.defaultdict(calls.AdmissionLimit)
         )
 
-    def start_due(self, unscored: typing.Iterable[tasks.ItemTask]) -> None:
-        """Starts the attempts that are due.
+    def start_if_due(self, task: tasks.ItemTask) -> None:
+        """Starts the next attempt of an item if it is due.
 
         Args:
-            unscored: Items with a complete text, the most urgent one first.
+            task: Item with a complete text.
         """
-        for task in unscored:
-            route = self._find_route(task.item.scoring)
-            if route is None:
-                continue
-            scoring = self._scorings.get(task)
-            if scoring is None:
-                limits = calls.CallLimits(
-                    route.max_attempts, route.objective_s
-                )
-                scoring = _TaskScoring(calls.ScoringCall(limits))
-                self._scorings[task] = scoring
-            if scoring.call.is_attempt_due(clock.monotonic_s()):
-                self._try_start(task, route, scoring)
+        route = self._find_route(task.item.scoring)
+        if route is None:
+            return
+        scoring = self._scorings.get(task)
+        if scoring is None:
+            limits = calls.CallLimits(route.max_attempts, route.objective_s)
+            scoring = _TaskScoring(calls.ScoringCall(limits))
+            self._scorings[task] = scoring
+        if scoring.call.is_attempt_due(clock.monotonic_s()):
+            self._try_start(task, route, scoring)
 
     def stop(self, task: tasks.ItemTask) -> None:
         """Stops the attempts of an item."""
@@ -180,9 +178,16 @@
         running: int,
     ) -> None:
         deadline = clock.Deadline(scoring.call.limits.timeout_s)
-        result = self._gateway.attempt(
-            replica, route, _make_call(task.item, deadline), deadline
-        )
+        try:
+            result = self._gateway.attempt(
+                replica, route, _make_call(task.item, deadline), deadline
+            )
+        except Exception as error:
+            # Without an outcome the item would wait for this attempt.
+            failures.report('score_attempt', task.item.item_id, error)
+            result = gateway_calls.AttemptResult(
+                replica, None, False, f'internal error: {error!r:.200}'
+            )
         if result.load is not None:
             self._record_load(replica, result.load)
         outcome = _classify(result)
--- a/src/lentildeal/_internal/jobs/tasks.py
+++ b/src/lentildeal/_internal/jobs/tasks.py
@@ -70,6 +70,7 @@
         self.created_s = clock.monotonic_s()
         self._blocked_since_s: typing.Optional[float] = None
         self._retry_at_s = 0.0
+        self._failing_since_s: typing.Optional[float] = None
         self._retry_delays = backoff.Backoff(
             FIRST_SUSPECT_DELAY_S, MAX_SUSPECT_DELAY_S
         )
@@ -119,6 +120,21 @@
         if self.is_suspect:
             self._retry_at_s = clock.monotonic_s() + CRASH_DELAY_S
 
+    def record_internal_error(self) -> float:
+        """Records an unexpected error; returns since how long there are any.
+
+        The next attempt is delayed.
+        """
+        now_s = clock.monotonic_s()
+        if self._failing_since_s is None:
+            self._failing_since_s = now_s
+        self._retry_at_s = now_s + self._retry_delays.next_delay_s()
+        return now_s - self._failing_since_s
+
+    def clear_internal_errors(self) -> None:
+        """Records that an attempt was processed without an error."""
+        self._failing_since_s = None
+
     @property
     def is_unscored(self) -> bool:
         """Whether the item waits for the score of its text."""
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -173,6 +173,22 @@
     key='Key of the record.',
     reason='What is wrong with the record.',
 )
+define(
+    'work_failed',
+    'An unexpected error ended one piece of work; the others go on. At most'
+    ' one line in ten seconds for the same error.',
+    work='What was done.',
+    subject='Item, job, record or service that it was done for.',
+    reason='The error.',
+)
+define(
+    'record_dropped',
+    'A record that cannot be stored was dropped, so that others can be.',
+    record='Its type.',
+    reason='What is wrong with it.',
+    job='Its job, if any.',
+    index='Position of its item in the job, if any.',
+)
 define(
     'text_applied',
     'A version of the published text took effect.',
--- a/src/lentildeal/_internal/orders/rotation_plugin.py
+++ b/src/lentildeal/_internal/orders/rotation_plugin.py
@@ -14,6 +14,7 @@
 from lentildeal._internal.jobs import records
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.orders import rotation
@@ -81,11 +82,18 @@
                 for service in text.iter_engine_services():
                     if self._may_order(service.name):
                         is_holder = True
-                        self._order_missing(service)
+                        self._update(service)
             self._directory.changed.wait(
                 CHECK_S if is_holder else IDLE_CHECK_S
             )
 
+    def _update(self, service: deployment.Service) -> None:
+        try:
+            self._order_missing(service)
+        except Exception as error:
+            # The replicas of other services get their orders all the same.
+            failures.report('rotation', service.name, error)
+
     def _may_order(self, service: ids.ServiceName) -> bool:
         lease_name = lease_manager.orders_lease_name(service)
         return self._leases.may_order(lease_name) and not self._is_draining
--- a/src/lentildeal/_internal/scaling/plugin.py
+++ b/src/lentildeal/_internal/scaling/plugin.py
@@ -13,6 +13,7 @@
 from lentildeal._internal.jobs import table
 from lentildeal._internal.kernel import plugins
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
 from lentildeal._internal.models import deployment
 from lentildeal._internal.models import ids
 from lentildeal._internal.scaling import allocation
@@ -70,8 +71,15 @@
             self._note_jobs()
             for service in text.services.values():
                 if service.scaling is not None:
-                    self._observe(service)
-                    self._order(service)
+                    self._update(service)
+
+    def _update(self, service: deployment.Service) -> None:
+        try:
+            self._observe(service)
+            self._order(service)
+        except Exception as error:
+            # The other services are scaled all the same.
+            failures.report('scaling', service.name, error)
 
     def _note_jobs(self) -> None:
         """Notes when this daemon has read of each open job."""
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -3,10 +3,8 @@
 import contextlib
 
 import eventlet
-from eventlet import event
 import pytest
 
-from lentildeal._internal.jobs import attempts
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
 from lentildeal._internal.jobs import tasks
@@ -15,65 +13,13 @@
 from lentildeal._internal.utils import clock
 from tests.lib import fake_store
 from tests.lib import job_builders
+from tests.lib import job_engines
 from tests.lib import store_kernel
 
 
-class Replicas:
-    """Replicas whose attempts run until the test completes them."""
-
-    def __init__(self):
-        # Item IDs in order of their start, by replica.
-        self.started = {}
-        self.runs = {}
-
-    def make_attempt(self, _platform, _connections, replica, progress, *_rest):
-        return Attempt(self, replica, progress)
-
-
-class Attempt:
-    """Attempt that makes events only when the test requests them."""
-
-    def __init__(self, replicas_, replica, progress):
-        self.replica = replica
-        self.progress = progress
-        self.versions = progress.versions
-        self.started_s = self.last_received_s = clock.monotonic_s()
-        self.run_events = self.event_count = 0
-        self.pace_s = None
-        self.reason = ''
-        self._replicas = replicas_
-        self._end = event.Event()
-
-    def run(self, _host, item, _account=None):
-        replica_id = self.replica.replica_id
-        self._replicas.started.setdefault(replica_id, []).append(item.item_id)
-        self._replicas.runs[item.item_id] = self
-        return self._end.wait()
-
-    def make_events(self, count, pace_s):
-        self.progress = jobs.Progress(('text',) * count, str(count), (1,))
-        self.run_events = self.event_count = count
-        self.pace_s = pace_s
-        self.last_received_s = clock.monotonic_s()
-
-    def complete(self):
-        self._end.send(attempts.AttemptOutcome.COMPLETE)
-
-    def crash(self):
-        self._end.send(attempts.AttemptOutcome.CRASHED)
-
-    def raise_error(self):
-        self._end.send_exception(LookupError('unexpected'))
-
-    def break_off(self):
-        self._end.send(attempts.AttemptOutcome.BROKEN)
-
-
 @pytest.fixture
 def engines(monkeypatch):
-    found = Replicas()
-    monkeypatch.setattr(attempts, 'Attempt', found.make_attempt)
-    return found
+    return job_engines.install(monkeypatch)
 
 
 @pytest.fixture
