Give up items whose request the store can't give any more

What callers saw: a step of which some requests can't be read was accepted and never run, at any daemon. Results behind a lost text were answered with 503 for good, and the job was not renewed.

Cause: the load of a step was all or nothing and retried every PlatformError; a record that the store has confirmed and does not give back was the same error as a store that does not respond.

Ruled out: waiting. Locations are written after the store has confirmed the record, and its responses are linearizable.

Change: RecordMissingError tells the two apart. Lost items are listed as given up at once, the others run; lost texts are shown as given up, and renewals leave them out. A job that fails to load with an unexpected error five times is given up.

--- a/src/lentildeal/_internal/exceptions.py
+++ b/src/lentildeal/_internal/exceptions.py
@@ -61,6 +61,12 @@
     """The log service throttled a call."""
 
 
+class RecordMissingError(LogUnavailableError):
+    """The log responded without a record that it had confirmed."""
+
+    default_remedy = 'none; the log has lost the record'
+
+
 class LogAnswerLostError(PlatformError):
     """The response to an append was lost; it may have taken effect."""
 
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -4,30 +4,49 @@
 
 import typing
 
+from loguru import logger
+
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.logs import events
 from lentildeal._internal.models import deployment
+from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
 
 if typing.TYPE_CHECKING:
     from lentildeal._internal.jobs import work_log as work_log_module
 
+T = typing.TypeVar('T')
 
-def load_items(
-    work_log: work_log_module.WorkLog, entry: table.JobEntry
-) -> list[jobs.Item]:
-    """Loads the items of a job, in order.
+# A text that fails to be read with one of these can't be read later either.
+LOST_ERRORS = (
+    exceptions.LogTrimmedError,
+    exceptions.RecordMissingError,
+    exceptions.UnreadableRecordError,
+)
 
-    Raises:
-        exceptions.PlatformError: The log did not respond.
+
+class LostItem(typing.NamedTuple):
+    """An item that can't be run, as its request can't be read.
+
+    Attributes:
+        index: Position of the item in the job.
+        item_id: The item.
+        reason: Why its request can't be read.
     """
-    items: list[jobs.Item] = []
-    for part in work_log.read_texts([location for _, location in entry.parts]):
-        items.extend(part.iter_items())
-    return items
+
+    index: int
+    item_id: ids.ItemId
+    reason: str
+
+
+class LoadedJob(typing.NamedTuple):
+    """Items of a job that have no result."""
+
+    tasks: list[tasks.ItemTask]
+    lost: list[LostItem]
 
 
 def load_item(
@@ -36,86 +55,197 @@
     """Loads one item of a job.
 
     Raises:
-        exceptions.PlatformError: The log did not respond.
+        exceptions.PlatformError: The log did not respond, or the item can't
+            be read; see ``LOST_ERRORS``.
     """
     first, location = entry.find_part(index)
-    (part,) = work_log.read_texts([location])
-    return part.get_item(index - first)
+    part = _load_part(work_log, location)
+    return _get_item(part, entry, first, index)
 
 
-def load_tasks(
+def load_job(
     work_log: work_log_module.WorkLog,
     text: deployment.PublishedText,
     entry: table.JobEntry,
-) -> list[tasks.ItemTask]:
+) -> LoadedJob:
     """Creates tasks for the items of a job that have no result.
 
     Raises:
         exceptions.PlatformError: The log did not respond.
     """
-    found = []
-    for index, item in enumerate(load_items(work_log, entry)):
-        if entry.is_listed(index):
-            continue
-        is_resubmitted = work_log.table.is_resubmitted(
-            item.item_id, entry.head.job_id
-        )
-        saved = entry.checkpoints.get(index)
-        if saved is None and is_resubmitted:
-            saved = work_log.table.find_checkpoint(item.item_id)
-        task = tasks.ItemTask(
-            entry,
-            index,
-            item,
-            jobs.Progress(),
-            expected_events=item.expected_tokens
-            / _tokens_per_event(text, entry, item),
-            is_resubmitted=is_resubmitted,
-        )
-        if saved is not None:
-            progress = _load_progress(work_log, saved)
-            route = text.find_route(entry.head.host, item.path)
-            is_single = route is not None and route.is_single_version
-            if task.is_valid(progress, is_single):
-                task.progress = progress
-                task.saved_events = len(progress.events)
-                task.is_generated = saved.is_complete and bool(progress.events)
-        found.append(task)
-    return found
-
-
-def load_text(
+    loaded = LoadedJob([], [])
+    parts = _load_parts(work_log, entry)
+    numbers = [first for first, _ in entry.parts]
+    ends = [*numbers[1:], entry.head.item_count]
+    for first, end, part in zip(numbers, ends, parts, strict=True):
+        for index in range(first, end):
+            if entry.is_listed(index):
+                continue
+            try:
+                if isinstance(part, exceptions.LentildealError):
+                    raise part
+                item = _get_item(part, entry, first, index)
+                task = _make_task(work_log, text, entry, index, item)
+            except LOST_ERRORS as error:
+                loaded.lost.append(make_lost(entry, index, error.message))
+            except exceptions.PlatformError:
+                raise
+            except Exception as error:
+                logger.opt(exception=error).error(
+                    'item {} of job {} was not loaded',
+                    entry.item_ids[index],
+                    entry.head.job_id,
+                )
+                loaded.lost.append(
+                    make_lost(entry, index, f'internal error: {error!r:.200}')
+                )
+            else:
+                loaded.tasks.append(task)
+    return loaded
+
+
+def give_up_job(entry: table.JobEntry, reason: str) -> LoadedJob:
+    """Marks all items of a job that have no result as lost."""
+    lost = [
+        make_lost(entry, index, reason)
+        for index in range(entry.head.item_count)
+        if not entry.is_listed(index)
+    ]
+    return LoadedJob([], lost)
+
+
+def make_lost(entry: table.JobEntry, index: int, reason: str) -> LostItem:
+    """Describes an item of a job that can't be run."""
+    return LostItem(index, entry.item_ids[index], reason)
+
+
+def load_events(
     work_log: work_log_module.WorkLog, location: records.RecordLocation
 ) -> typing.Optional[records.EventTexts]:
-    """Loads the text of an item, None if the store no longer has it.
+    """Loads the text of an item, None if it can't be read any more.
 
     Raises:
         exceptions.PlatformError: The log did not respond.
     """
     try:
-        (text,) = work_log.read_texts([location])
-    except exceptions.LogTrimmedError:
+        return _load_payload(work_log, location, records.EventTexts)
+    except LOST_ERRORS as error:
+        events.emit(
+            'record_ignored',
+            stream=location.stream,
+            key=str(location.offset),
+            reason=error.message,
+        )
         return None
-    except exceptions.UnreadableRecordError as error:
-        reason = error.message
-    else:
-        if isinstance(text, records.EventTexts):
-            return text
-        reason = f'a record of the type {type(text).__name__}'
-    # One odd record must not keep the other items of a job from loading.
-    events.emit(
-        'record_ignored',
-        stream=location.stream,
-        key=str(location.offset),
-        reason=reason,
+
+
+def load_all_events(
+    work_log: work_log_module.WorkLog,
+    locations: typing.Sequence[records.RecordLocation],
+) -> list[typing.Optional[records.EventTexts]]:
+    """Loads texts, None in place of those that can't be read any more.
+
+    Raises:
+        exceptions.PlatformError: The log did not respond.
+    """
+    try:
+        found = work_log.read_texts(locations)
+    except LOST_ERRORS:
+        found = [None]
+    if all(isinstance(text, records.EventTexts) for text in found):
+        return found
+    return [load_events(work_log, location) for location in locations]
+
+
+def _load_parts(
+    work_log: work_log_module.WorkLog, entry: table.JobEntry
+) -> list[typing.Union[records.JobPart, exceptions.LentildealError]]:
+    """Loads the parts of a job, an error in place of those that are lost."""
+    locations = [location for _, location in entry.parts]
+    try:
+        found = work_log.read_texts(locations)
+    except LOST_ERRORS:
+        found = [None]
+    if all(isinstance(part, records.JobPart) for part in found):
+        return found
+    parts: list = []
+    for location in locations:
+        try:
+            parts.append(_load_part(work_log, location))
+        except LOST_ERRORS as error:
+            parts.append(error)
+    return parts
+
+
+def _load_part(
+    work_log: work_log_module.WorkLog, location: records.RecordLocation
+) -> records.JobPart:
+    return _load_payload(work_log, location, records.JobPart)
+
+
+def _load_payload(
+    work_log: work_log_module.WorkLog,
+    location: records.RecordLocation,
+    cls: type[T],
+) -> T:
+    (payload,) = work_log.read_texts([location])
+    if not isinstance(payload, cls):
+        raise exceptions.UnreadableRecordError(
+            f'text {location.offset} of {location.stream} is of the type'
+            f' {type(payload).__name__}'
+        )
+    return payload
+
+
+def _get_item(
+    part: records.JobPart, entry: table.JobEntry, first: int, index: int
+) -> jobs.Item:
+    item = part.get_item(index - first)
+    if item.item_id != entry.item_ids[index]:
+        raise exceptions.UnreadableRecordError(
+            f'item {index} of job {entry.head.job_id} has the id'
+            f' {item.item_id!r:.50}'
+        )
+    return item
+
+
+def _make_task(
+    work_log: work_log_module.WorkLog,
+    text: deployment.PublishedText,
+    entry: table.JobEntry,
+    index: int,
+    item: jobs.Item,
+) -> tasks.ItemTask:
+    is_resubmitted = work_log.table.is_resubmitted(
+        item.item_id, entry.head.job_id
+    )
+    saved = entry.checkpoints.get(index)
+    if saved is None and is_resubmitted:
+        saved = work_log.table.find_checkpoint(item.item_id)
+    task = tasks.ItemTask(
+        entry,
+        index,
+        item,
+        jobs.Progress(),
+        expected_events=item.expected_tokens
+        / _tokens_per_event(text, entry, item),
+        is_resubmitted=is_resubmitted,
     )
-    return None
+    if saved is not None:
+        progress = _load_progress(work_log, saved)
+        route = text.find_route(entry.head.host, item.path)
+        is_single = route is not None and route.is_single_version
+        if task.is_valid(progress, is_single):
+            task.progress = progress
+            task.saved_events = len(progress.events)
+            task.is_generated = saved.is_complete and bool(progress.events)
+    return task
 
 
 def _load_progress(
     work_log: work_log_module.WorkLog, saved: table.SavedProgress
 ) -> jobs.Progress:
-    text = load_text(work_log, saved.location)
+    text = load_events(work_log, saved.location)
     if text is None:
         # The item starts again.
         return jobs.Progress()
@@ -128,7 +258,7 @@
     item: jobs.Item,
 ) -> int:
     route = text.find_route(entry.head.host, item.path)
-    if route is None:
+    if route is None or not route.shares:
         return 1
     service = text.services.get(route.shares[0].service)
     return service.tokens_per_event if service is not None else 1
--- a/src/lentildeal/_internal/jobs/open_jobs.py
+++ b/src/lentildeal/_internal/jobs/open_jobs.py
@@ -19,6 +19,8 @@
         self.entry = entry
         # None until the items have been loaded from the log.
         self.tasks: typing.Optional[list[tasks.ItemTask]] = None
+        # Why the last attempt to load them failed.
+        self.load_error = ''
 
     def iter_tasks(self) -> typing.Iterator[tasks.ItemTask]:
         """Iterates over the tasks of items without a result."""
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -198,7 +198,8 @@
         """Returns the body of an item, None if there is no such item.
 
         Raises:
-            exceptions.NotFoundError: There is no such job.
+            exceptions.NotFoundError: There is no such job, or the store no
+                longer has the body.
             exceptions.NotRunError: The store does not respond.
         """
         entry = self._find_job(job_id, may_see)
@@ -207,6 +208,10 @@
             return None
         try:
             return loading.load_item(self._log, entry, index).body
+        except loading.LOST_ERRORS as error:
+            raise exceptions.NotFoundError(
+                f'item {item_id} can not be read any more: {error.message}'
+            ) from error
         except exceptions.PlatformError as error:
             raise _make_unavailable_error(error) from error
 
@@ -362,22 +367,36 @@
         listed = _select_page(entry.results[after:])
         locations = [r.location for r in listed if r.location is not None]
         try:
-            texts = iter(self._log.read_texts(locations))
+            texts = iter(loading.load_all_events(self._log, locations))
         except exceptions.PlatformError as error:
             raise _make_unavailable_error(error) from error
         found = tuple(
-            jobs.Result(
-                entry.item_ids[result.index],
-                result.state,
-                '' if result.location is None else next(texts).text,
-                result.versions,
-                result.score,
+            _make_result(
+                entry, result, None if result.location is None else next(texts)
             )
             for result in listed
         )
         return JobPage(entry.head.item_count, after + len(found), found)
 
 
+def _make_result(
+    entry: table.JobEntry,
+    result: table.ListedResult,
+    text: typing.Optional[records.EventTexts],
+) -> jobs.Result:
+    item_id = entry.item_ids[result.index]
+    if result.location is not None and text is None:
+        # The text is lost. The trainer can still read the results after it.
+        return jobs.Result(item_id, jobs.ResultState.GIVEN_UP, '', ())
+    return jobs.Result(
+        item_id,
+        result.state,
+        '' if text is None else text.text,
+        result.versions,
+        result.score,
+    )
+
+
 def _select_page(
     results: list[table.ListedResult],
 ) -> list[table.ListedResult]:
--- a/src/lentildeal/_internal/jobs/recording.py
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -4,7 +4,9 @@
 
 import prometheus_client
 
+from lentildeal._internal.jobs import loading
 from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import tasks
 from lentildeal._internal.jobs import work_log
 from lentildeal._internal.logs import events
@@ -65,6 +67,18 @@
             elapsed_ms=int(elapsed_s * 1000),
         )
 
+    def list_lost(self, entry: table.JobEntry, lost: loading.LostItem) -> None:
+        """Enqueues the result of an item whose request can't be read."""
+        state = jobs.ResultState.GIVEN_UP
+        job_id = entry.head.job_id
+        self._log.enqueue(
+            records.ItemResult(job_id, lost.index, state.value, ())
+        )
+        _items_total.labels(state.value).inc()
+        events.emit(
+            'item_lost', item=lost.item_id, job=job_id, reason=lost.reason
+        )
+
     def save_checkpoint(
         self, task: tasks.ItemTask, min_new_events: int
     ) -> None:
--- a/src/lentildeal/_internal/jobs/renewal.py
+++ b/src/lentildeal/_internal/jobs/renewal.py
@@ -12,10 +12,13 @@
 import eventlet
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.jobs import loading
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import table
 from lentildeal._internal.logs import events
+from lentildeal._internal.logs import failures
 from lentildeal._internal.models import ids
+from lentildeal._internal.models import jobs
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
@@ -50,6 +53,8 @@
     """Texts of a job that were appended again: old and new locations."""
 
     locations: dict[records.RecordLocation, records.RecordLocation]
+    # Texts that the store no longer has.
+    lost: set[records.RecordLocation]
 
     def find(self, location: records.RecordLocation) -> records.RecordLocation:
         return self.locations.get(location, location)
@@ -108,6 +113,8 @@
                     events.emit(
                         'job_renewal_failed', job=job_id, reason=error.message
                     )
+                except Exception as error:
+                    failures.report('job_renewal', job_id, error)
                 if entry.renewal_count == renewals:
                     eventlet.sleep(delays.next_delay_s())
             self._renewed_s[job_id] = clock.uptime_s()
@@ -124,19 +131,43 @@
         """Appends the items and the texts of the results again.
 
         Raises:
-            exceptions.PlatformError: The store did not respond, or has
-                dropped a text.
+            exceptions.PlatformError: The store did not respond.
         """
         found = [location for _, location in entry.parts]
         found += [r.location for r in entry.results if r.location is not None]
         stream = records.text_stream_name(entry.head.job_id)
         renewed: dict[records.RecordLocation, records.RecordLocation] = {}
+        lost: set[records.RecordLocation] = set()
         for batch in _split(found, self._call_bytes // 2):
-            texts = self._log.read_texts(batch)
-            renewed.update(
-                zip(batch, self._log.append_texts(stream, texts), strict=True)
-            )
-        return _RenewedTexts(renewed)
+            texts = self._read(batch, lost)
+            kept = [location for location in batch if location not in lost]
+            if kept:
+                renewed.update(
+                    zip(
+                        kept,
+                        self._log.append_texts(stream, texts),
+                        strict=True,
+                    )
+                )
+        return _RenewedTexts(renewed, lost)
+
+    def _read(
+        self,
+        batch: list[records.RecordLocation],
+        lost: set[records.RecordLocation],
+    ) -> list[records.Payload]:
+        """Reads texts, and adds those that can't be read any more to lost.
+
+        Raises:
+            exceptions.PlatformError: The store did not respond.
+        """
+        try:
+            return self._log.read_texts(batch)
+        except loading.LOST_ERRORS:
+            if len(batch) == 1:
+                lost.update(batch)
+                return []
+        return [text for one in batch for text in self._read([one], lost)]
 
     def _append_renewal(
         self, entry: table.JobEntry, texts: _RenewedTexts
@@ -181,6 +212,9 @@
     location = result.location
     if location is None:
         return result.index, result.state.value, result.versions
+    if location in texts.lost:
+        # As it is shown to trainers.
+        return result.index, jobs.ResultState.GIVEN_UP.value, ()
     location = texts.find(location)
     return (
         result.index,
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -42,6 +42,8 @@
 # Generating fewer events again costs less than a checkpoint.
 CHECKPOINT_MIN_EVENTS = 15
 OPEN_RETRY_S = 0.2
+# Unexpected errors in loading a job after which its items are given up.
+MAX_FAILED_LOADS = 5
 # Time for which an item may fail with unexpected errors until it is given up.
 MAX_FAILING_S = 5.0
 
@@ -225,33 +227,52 @@
         )
 
     def _load_items(self, job: open_jobs.OpenJob) -> None:
-        """Loads the items of a job from the log, with retries."""
-        while self._jobs.get(job.entry.head.job_id) is job:
+        """Loads the items of a job from the log, with retries.
+
+        Only a store that does not respond is waited for. Items that can't be
+        loaded for another reason are given up.
+        """
+        job_id = job.entry.head.job_id
+        failed_loads = 0
+        while self._jobs.get(job_id) is job:
             try:
-                loaded = loading.load_tasks(
+                loaded = loading.load_job(
                     self._log, self._directory.text, job.entry
                 )
-                self._reuse_results(job, loaded)
+                self._reuse_results(job, loaded.tasks)
             except exceptions.PlatformError as error:
+                job.load_error = error.message
                 events.emit(
-                    'job_open_retried',
-                    job=job.entry.head.job_id,
-                    reason=error.message,
+                    'job_open_retried', job=job_id, reason=error.message
                 )
-                eventlet.sleep(OPEN_RETRY_S)
-                continue
-            job.tasks = loaded
-            events.emit(
-                'job_opened',
-                job=job.entry.head.job_id,
-                term=self._lease_manager.find_term(
-                    lease_manager.jobs_lease_name(job.entry.head.model)
-                ),
-                waiting=sum(task.is_waiting for task in loaded),
-                resumed=sum(bool(t.progress.events) for t in loaded),
-            )
-            self._wakeup.set()
-            return
+            except Exception as error:
+                failures.report('job_load', job_id, error)
+                job.load_error = f'internal error: {error!r:.200}'
+                failed_loads += 1
+                if failed_loads >= MAX_FAILED_LOADS:
+                    loaded = loading.give_up_job(job.entry, job.load_error)
+                    self._open(job, loaded)
+                    return
+            else:
+                self._open(job, loaded)
+                return
+            eventlet.sleep(OPEN_RETRY_S)
+
+    def _open(self, job: open_jobs.OpenJob, loaded: loading.LoadedJob) -> None:
+        for lost in loaded.lost:
+            self._recorder.list_lost(job.entry, lost)
+        job.tasks = loaded.tasks
+        head = job.entry.head
+        events.emit(
+            'job_opened',
+            job=head.job_id,
+            term=self._lease_manager.find_term(
+                lease_manager.jobs_lease_name(head.model)
+            ),
+            waiting=sum(task.is_waiting for task in job.tasks),
+            resumed=sum(bool(t.progress.events) for t in job.tasks),
+        )
+        self._wakeup.set()
 
     def _reuse_results(
         self, job: open_jobs.OpenJob, loaded: list[tasks.ItemTask]
@@ -280,7 +301,7 @@
             jobs.Progress(versions=versions), self._is_single(task)
         ):
             return
-        text = loading.load_text(self._log, location)
+        text = loading.load_events(self._log, location)
         if text is not None:
             task.progress = jobs.Progress(text.events, versions=versions)
             self._handle_complete(task)
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -9,6 +9,7 @@
 from loguru import logger
 import prometheus_client
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import append_queue
 from lentildeal._internal.jobs import append_timeout
@@ -281,8 +282,8 @@
         """Reads texts, those with consecutive offsets in one call.
 
         Raises:
-            exceptions.PlatformError: The store did not respond, or has
-                dropped a text.
+            exceptions.PlatformError: The store did not respond, or a text
+                can't be read; see ``loading.LOST_ERRORS``.
         """
         bodies: dict[records.RecordLocation, bytes] = {}
         missing = []
@@ -307,7 +308,7 @@
             first = location.offset - start
             body = b''.join(parts[first : first + location.record_count])
             if len(body) != location.size_bytes:
-                raise exceptions.LogUnavailableError(
+                raise exceptions.RecordMissingError(
                     f'text {location.offset} of {location.stream} is missing'
                 )
             bodies[location] = body
@@ -330,10 +331,7 @@
         found: list[bytes] = []
         while next_offset < end:
             page = self._store.read(stream, next_offset, limit_bytes=limit)
-            if not page.records or page.records[0].offset != next_offset:
-                raise exceptions.LogUnavailableError(
-                    f'record {next_offset} of {stream} is missing'
-                )
+            _check_page(page, stream, next_offset)
             found.extend(raw.body for raw in page.records)
             next_offset = ids.Offset(next_offset + len(page.records))
         return found[: end - group[0].offset]
@@ -486,5 +484,29 @@
             )
 
 
+def _check_page(
+    page: platform_base.StorePage, stream: str, offset: ids.Offset
+) -> None:
+    """Checks that a page begins with the record that was requested.
+
+    Raises:
+        exceptions.LogTrimmedError: The store has dropped the record.
+        exceptions.RecordMissingError: The stream ends before the record.
+        exceptions.LogUnavailableError: The page lacks the record.
+    """
+    message = f'record {offset} of {stream} is missing'
+    if page.records:
+        first = page.records[0].offset
+        if first > offset:
+            raise exceptions.LogTrimmedError(message, first)
+        if first == offset:
+            return
+    elif page.end <= offset:
+        # Locations are written once the store has confirmed the record, and
+        # its responses are linearizable.
+        raise exceptions.RecordMissingError(message)
+    raise exceptions.LogUnavailableError(message)
+
+
 def _elapsed_ms(since_s: float) -> int:
     return int((clock.monotonic_s() - since_s) * 1000)
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -181,6 +181,13 @@
     subject='Item, job, record or service that it was done for.',
     reason='The error.',
 )
+define(
+    'item_lost',
+    'An item was given up because its request cannot be read from the store.',
+    item='The item.',
+    job='Its job.',
+    reason='Why it cannot be read.',
+)
 define(
     'record_dropped',
     'A record that cannot be stored was dropped, so that others can be.',
