Reject names that nothing can have, and refuse jobs of unknown models

What callers saw: a step whose model is empty, has a NUL or is in no text was accepted, and nothing was listed; so were items with an empty id or one with spaces around it, whose answers never match. Jobs of a model that has left the text were never given up once their holder was gone.

Cause: names were only checked for being strings, and leases are claimed for the models of the text only.

Weighed: 400 for unknown models. A daemon reads a new text up to a second after others, so it is 503 with Retry-After 1 s; a known job is answered with 202.

Change: 400 that names the field for names that nothing can have; 503 for a model that no service has; leases for models that only open jobs have.

--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -57,6 +57,8 @@
 # Lease for reporting usage, and the group of all calls to the platform.
 USAGE_LEASE = ids.LeaseName('usage')
 PLATFORM_DUTIES = 'duties at the platform'
+# Group of the jobs of models that no service has.
+UNSERVED_JOBS = 'jobs without a service'
 
 _held = prometheus_client.Gauge(
     'lentildeal_duties_held', 'Leases that this daemon holds.'
@@ -226,11 +228,17 @@
         of a service share its replicas, and two holders would fill the same
         replica at the same time.
         """
+        served: set[ids.ModelName] = set()
         for service in self._directory.text.iter_engine_services():
             lease_name = orders_lease_name(service.name)
             yield lease_name, lease_name
             for model in service.models:
+                served.add(model)
                 yield jobs_lease_name(model), f'jobs of {service.name}'
+        # Jobs of a model that the text no longer names have to be given up.
+        models = {e.head.model for e in self._log.table.iter_open()}
+        for model in sorted(models - served):
+            yield jobs_lease_name(model), UNSERVED_JOBS
         duties = self._kernel.settings.duties
         if duties is None:
             return
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -40,6 +40,8 @@
 # Trainers read about twice a second; by then the store has recovered or they
 # ask another daemon.
 READ_RETRY_AFTER_S = 0.25
+# A text that names the model takes effect within seconds.
+UNKNOWN_MODEL_RETRY_AFTER_S = 1.0
 # Time in which the outcome of an append without a response is determined.
 OUTCOME_TIMEOUT_S = 2.5
 END_TIMEOUT_S = 3.0
@@ -239,6 +241,7 @@
     def _submit(self, job: jobs.Job) -> None:
         if self._is_known(job.head.job_id):
             return
+        self._check_model(job.head.model)
         if not self._log.is_responding:
             raise self._make_refusal('no answer lately')
         limit = self._kernel.settings.store.record_bytes
@@ -276,6 +279,23 @@
             ),
         )
 
+    def _check_model(self, model: ids.ModelName) -> None:
+        """Checks that replicas of a service serve a model.
+
+        Raises:
+            exceptions.NotRunError: No service has it. The refusal is not
+                final, as a newer text may name the model.
+        """
+        text = self._directory.text
+        if any(model in s.models for s in text.services.values()):
+            return
+        raise exceptions.NotRunError(
+            f'no service of text {text.version} has the model {model!r:.80}',
+            cause='unknown_model',
+            retry_after_s=UNKNOWN_MODEL_RETRY_AFTER_S,
+            remedy='correct the name of the model, or publish a text with it',
+        )
+
     def _store_items(
         self,
         job: jobs.Job,
--- a/src/lentildeal/_internal/platform/ingress.py
+++ b/src/lentildeal/_internal/platform/ingress.py
@@ -199,7 +199,7 @@
                 job_id=ids.JobId(job_id),
                 host=host,
                 path=path,
-                model=ids.ModelName(_require_text(document['Model'])),
+                model=ids.ModelName(_require_name(document, 'Model')),
                 step=decimals.require_int(document['Step']),
                 min_version=ids.Version(
                     decimals.require_int(document['MinVersion'])
@@ -241,7 +241,7 @@
 
 
 def _decode_item(entry: dict) -> jobs.Item:
-    item_id = _require_text(entry['Id'])
+    item_id = _require_name(entry, 'Id')
     try:
         headers = {
             http_fields.require_name(k): http_fields.require_value(str(v))
@@ -256,7 +256,7 @@
             hint = _read_number(usage[-1], names.TOKEN_USAGE)
         return jobs.Item(
             # Sent as a header, as is the request ID of a scoring request.
-            item_id=ids.ItemId(http_fields.require_value(item_id)),
+            item_id=ids.ItemId(_require_trimmed(item_id)),
             group=ids.GroupId(_require_text(entry.get('Group') or item_id)),
             path=http_fields.require_target(entry['Path']),
             headers=headers,
@@ -274,7 +274,7 @@
     if entry is None:
         return None
     return jobs.ScoringRequest(
-        request_id=http_fields.require_value(entry['Id']),
+        request_id=_require_trimmed(_require_name(entry, 'Id')),
         host=http_fields.require_value(entry['Host']),
         path=http_fields.require_target(entry['Path']),
         body=base64.b64decode(entry.get('Body') or '', validate=True),
@@ -294,6 +294,33 @@
     return value
 
 
+def _require_name(document: dict, field: str) -> str:
+    """Returns a field that names something.
+
+    Raises:
+        TypeError: It is not a string.
+        ValueError: It is empty or has control characters, so that nothing
+            can have this name.
+    """
+    value = _require_text(document[field])
+    if not value.strip():
+        raise ValueError(f'{field} is empty')
+    if any(ord(c) < 0x20 or ord(c) == 0x7F for c in value):
+        raise ValueError(f'{field} has a control character: {value!r:.50}')
+    return value
+
+
+def _require_trimmed(value: str) -> str:
+    """Returns a header value that arrives as it was sent.
+
+    Raises:
+        ValueError: It can't be sent, or has spaces around it.
+    """
+    if value != value.strip():
+        raise ValueError(f'{value!r:.50} begins or ends with a space')
+    return http_fields.require_value(value)
+
+
 def _read_host(request: http_server.Request) -> str:
     return (
         urllib.parse.urlsplit(f'//{request.headers.get("host", "")}')
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -10,6 +10,7 @@
 from lentildeal._internal.jobs import lease_manager
 from lentildeal._internal.jobs import leases
 from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import table
 from lentildeal._internal.models import deployment
 from lentildeal._internal.utils import clock
 from lentildeal._internal.utils import read_pacing
@@ -25,6 +26,7 @@
 
     def __init__(self):
         self.leases = leases.LeaseTable()
+        self.table = table.JobTable()
         self.is_caught_up = True
         self.connected_since_s = 0.0
         self.offset = 0
@@ -308,3 +310,11 @@
         eventlet.sleep(0.05)
     eventlet.sleep(0.2)
     assert manager.may_order(lease_name)
+
+
+def test_jobs_of_a_model_without_a_service_have_a_holder():
+    # Guards against a job that nobody gives up, as its model is in no text.
+    log = SharedLog()
+    log.table.apply(job_builders.make_accepted(model='gone'))
+    run([make_manager(log, 'a')], CLAIMS_S)
+    assert log.leases.get(lease_manager.jobs_lease_name('gone')).holder == 'a'
