Store a job over the size of one append in several appends

What callers saw: a job of more than 2 MiB was answered with 503, "the store does not answer", by each daemon as often as it came; so was one whose ids alone exceed a record.

Cause: all parts were appended in one call, which the store refuses above its size; a refusal counts as a store that does not respond.

Change: as many calls as the parts need, without those that are stored already; 400 with the allowed size for a record of a job that can't be stored. Items without an accepted job do not run, so the calls need not be one.

Before: all 4 cases of test_large_jobs.py fail. After: all pass, with tests/unit/jobs.

--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -246,15 +246,18 @@
             raise self._make_refusal('no answer lately')
         limit = self._kernel.settings.store.record_bytes
         parts = records.split_items(job.items, limit)
+        self._check_size(job, parts)
         deadline = clock.Deadline(SUBMIT_TIMEOUT_S)
         delays = backoff.Backoff(RETRY_DELAY_S, MAX_RETRY_DELAY_S)
         accepted: typing.Optional[records.JobAccepted] = None
+        locations: list[records.RecordLocation] = []
         text_version = self._directory.text.version
         while True:
             timeout_s = max(MIN_APPEND_TIMEOUT_S, deadline.remaining_s)
             try:
                 if accepted is None:
-                    accepted = self._store_items(job, parts, timeout_s)
+                    self._store_items(job, parts, locations, timeout_s)
+                    accepted = _make_accepted(job, parts, locations)
                 self._append_accepted(accepted, text_version)
                 return
             except exceptions.LogAnswerLostError as error:
@@ -296,35 +299,48 @@
             remedy='correct the name of the model, or publish a text with it',
         )
 
+    def _check_size(
+        self, job: jobs.Job, parts: list[tuple[int, records.JobPart]]
+    ) -> None:
+        """Checks that the record of a job can be stored.
+
+        Raises:
+            exceptions.BadRequestError: The job has too many items.
+        """
+        limit = self._kernel.settings.store.record_bytes
+        unknown = records.RecordLocation('', ids.Offset(2**62), limit)
+        accepted = _make_accepted(job, parts, [unknown] * len(parts))
+        size_bytes = len(records.encode(accepted))
+        if size_bytes > limit:
+            raise exceptions.BadRequestError(
+                f'the ids of {job.head.item_count} items take {size_bytes}'
+                f' bytes, {limit} are allowed',
+                remedy='send fewer items in a job, or shorter ids',
+            )
+
     def _store_items(
         self,
         job: jobs.Job,
         parts: list[tuple[int, records.JobPart]],
+        locations: list[records.RecordLocation],
         timeout_s: float,
-    ) -> records.JobAccepted:
-        """Appends the items to a text stream.
+    ) -> None:
+        """Appends the items that are not stored yet to a text stream.
 
         Args:
             job: The job.
             parts: Index of the first item and items of each record.
-            timeout_s: Timeout of the append.
+            locations: Locations of the stored parts, which is extended.
+            timeout_s: Timeout of an append.
 
         Raises:
-            exceptions.PlatformError: The items may not have been stored.
+            exceptions.PlatformError: Not all items may have been stored.
         """
-        locations = self._log.append_texts(
-            records.text_stream_name(job.head.job_id),
-            [part for _, part in parts],
-            timeout_s,
-        )
-        return records.JobAccepted(
-            records.encode_head(job.head),
-            tuple(item.item_id for item in job.items),
-            tuple(
-                (first, location.offset, location.size_bytes)
-                for (first, _), location in zip(parts, locations, strict=True)
-            ),
-        )
+        stream = records.text_stream_name(job.head.job_id)
+        limit = self._kernel.settings.store.call_bytes
+        texts = [part for _, part in parts]
+        for batch in records.split_calls(texts[len(locations) :], limit):
+            locations += self._log.append_texts(stream, batch, timeout_s)
 
     def _append_accepted(
         self, accepted: records.JobAccepted, text_version: int
@@ -399,6 +415,21 @@
         return JobPage(entry.head.item_count, after + len(found), found)
 
 
+def _make_accepted(
+    job: jobs.Job,
+    parts: list[tuple[int, records.JobPart]],
+    locations: list[records.RecordLocation],
+) -> records.JobAccepted:
+    return records.JobAccepted(
+        records.encode_head(job.head),
+        tuple(item.item_id for item in job.items),
+        tuple(
+            (first, location.offset, location.size_bytes)
+            for (first, _), location in zip(parts, locations, strict=True)
+        ),
+    )
+
+
 def _make_result(
     entry: table.JobEntry,
     result: table.ListedResult,
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -24,6 +24,8 @@
 # Upper bound of the overhead of a job part: its header, the msgpack encoding
 # and field names.
 PART_OVERHEAD_BYTES = 2048
+# Length prefix of a record in an append.
+LENGTH_BYTES = 4
 
 _CLASSES: dict[int, type] = {}
 _NUMBERS: dict[type, int] = {}
@@ -494,6 +496,28 @@
     return record_fields.read_fields(cls, fields)
 
 
+def split_calls(
+    texts: typing.Iterable[Payload], call_bytes: int
+) -> typing.Iterator[list[Payload]]:
+    """Splits texts into batches that fit into one append each.
+
+    Args:
+        texts: Texts of one record each.
+        call_bytes: Maximum size of the records of an append.
+    """
+    batch: list[Payload] = []
+    size_bytes = 0
+    for text in texts:
+        text_bytes = len(encode(text)) + LENGTH_BYTES
+        if batch and size_bytes + text_bytes > call_bytes:
+            yield batch
+            batch, size_bytes = [], 0
+        batch.append(text)
+        size_bytes += text_bytes
+    if batch:
+        yield batch
+
+
 def _encode_item(item: jobs.Item) -> tuple:
     fields = dataclasses.astuple(item)
     # Older releases do not know this field.
--- a/tests/lib/fake_store.py
+++ b/tests/lib/fake_store.py
@@ -45,6 +45,8 @@
         self.failing_text_reads = 0
         # Largest record, None for no limit.
         self.record_bytes: int | None = None
+        # Largest sum of the records of an append, None for no limit.
+        self.call_bytes: int | None = None
 
     def append(self, stream, bodies, *, timeout_s=None):
         """See the base class."""
@@ -56,6 +58,9 @@
         limit = self.record_bytes
         if limit is not None and any(len(body) > limit for body in bodies):
             raise exceptions.LogUnavailableError('a record is too large')
+        limit = self.call_bytes
+        if limit is not None and sum(map(len, bodies)) > limit:
+            raise exceptions.LogUnavailableError('an append is too large')
         if is_failing or fault is Fault.REFUSED:
             raise exceptions.LogUnavailableError('refused')
         if fault is Fault.LATE:
