Name steps that are accepted and not opened, with the cause

What operators saw: a step that stands still had no trace but a count of failed tasks, which points to no step. The three causes of such a step (no holder, the published text is not read, the items are not loaded) could not be told apart.

Change: the line job_not_opened and the gauge lentildeal_jobs_not_opened after three seconds; GET /v1/status on the addresses of readiness checks and metrics, for `lentildeal status`; `lentildeal explain` ends with the cause.

--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -118,6 +118,10 @@
         """Shows where an item of a new job would run; sends nothing."""
         return self._runner.preview(route, model, min_version)
 
+    def describe_open_jobs(self) -> list[dict[str, typing.Any]]:
+        """Describes all open jobs as JSON values, the oldest first."""
+        return self._runner.describe_open_jobs()
+
     def submit(self, job: jobs.Job) -> None:
         """Accepts a job and returns once it is in the log.
 
--- a/src/lentildeal/_internal/kernel/plugins.py
+++ b/src/lentildeal/_internal/kernel/plugins.py
@@ -39,6 +39,7 @@
     'lentildeal._internal.platform.ingress',
     'lentildeal._internal.gateway.explanations',
     'lentildeal._internal.reports.readiness',
+    'lentildeal._internal.reports.job_status',
 )
 
 
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -188,6 +188,18 @@
     job='Its job.',
     reason='Why it cannot be read.',
 )
+define(
+    'job_not_opened',
+    'A job was accepted some seconds ago and no daemon runs its items.',
+    job='The job.',
+    model='Its model.',
+    step='Step of its trainer.',
+    cause='"no_holder": no daemon holds the lease of the model; "no_text":'
+    ' the published text of its acceptance was not read; "not_loaded": its'
+    ' items were not read from the store.',
+    reason='The same in words.',
+    waited_ms='Time for which this daemon has seen it wait, in milliseconds.',
+)
 define(
     'record_dropped',
     'A record that cannot be stored was dropped, so that others can be.',
--- a/src/lentildeal/_internal/reports/explanation.py
+++ b/src/lentildeal/_internal/reports/explanation.py
@@ -168,7 +168,10 @@
 ) -> str:
     failures = _list_failures(id_lines)
     ended = [line for line in id_lines if line.event == 'item_ended']
-    if ended:
+    lost = [line for line in id_lines if line.event == 'item_lost']
+    if lost:
+        text = f'item was given up: {lost[-1].fields["reason"]}'
+    elif ended:
         fields = ended[-1].fields
         text = (
             f'item ended as {fields["state"]} after {fields["attempts"]}'
@@ -181,14 +184,27 @@
     elif any(line.event == 'job_opened' for line in lines):
         text = f'item {wanted_id} waited for a replica and never started'
     else:
-        text = 'no daemon opened the job of the item'
+        text = _explain_not_opened(lines) or (
+            'no daemon opened the job of the item'
+        )
     return '; '.join([text, *failures])
 
 
+def _explain_not_opened(lines: list[LogLine]) -> str:
+    """Names the last cause for which a job was not opened, "" for none."""
+    found = [line for line in lines if line.event == 'job_not_opened']
+    if not found:
+        return ''
+    fields = found[-1].fields
+    return f'accepted and not opened, {fields["cause"]}: {fields["reason"]}'
+
+
 def _explain_job(id_lines: list[LogLine]) -> str:
     opened = [line for line in id_lines if line.event == 'job_opened']
     if not opened:
-        return 'accepted, and no daemon opened it in these logs'
+        return _explain_not_opened(id_lines) or (
+            'accepted, and no daemon opened it in these logs'
+        )
     ended = {
         line.fields['item'] for line in id_lines if line.event == 'item_ended'
     }
--- /dev/null
+++ b/tests/unit/jobs/test_opening.py
@@ -0,0 +1,166 @@
+"""Jobs that were accepted and that no daemon runs, as operators see them."""
+
+import contextlib
+
+import prometheus_client
+import pytest
+
+from lentildeal._internal.jobs import opening
+from lentildeal._internal.jobs import records
+from lentildeal._internal.jobs import runner as runner_module
+from lentildeal._internal.logs import events
+from tests.lib import fake_store
+from tests.lib import job_builders
+from tests.lib import store_kernel
+
+Cause = opening.WaitCause
+
+
+class Clock:
+    """Time of a test."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        events, 'emit', lambda name, **fields: found.append((name, fields))
+    )
+    return found
+
+
+def make_wait(cause=Cause.NO_HOLDER, job_id='job'):
+    head = job_builders.make_head(job_id, step=7)
+    return opening.WaitingJob(head, cause, 'the reason')
+
+
+def read_gauge(cause):
+    return prometheus_client.REGISTRY.get_sample_value(
+        'lentildeal_jobs_not_opened', {'cause': cause.value}
+    )
+
+
+def test_job_that_waits_has_one_line_for_each_cause(clock, lines):
+    # Guards against a step that stands still without a trace.
+    monitor = opening.OpeningMonitor(clock)
+    for _ in range(10):
+        monitor.update([make_wait()])
+        clock.now_s += 1.0
+    monitor.update([make_wait(Cause.NOT_LOADED)])
+    assert [fields['cause'] for _, fields in lines] == [
+        'no_holder',
+        'not_loaded',
+    ]
+    name, fields = lines[0]
+    assert (name, fields['step'], fields['reason']) == (
+        'job_not_opened',
+        7,
+        'the reason',
+    )
+    assert fields['waited_ms'] >= 1000 * opening.MAX_OPENING_S
+    assert read_gauge(Cause.NOT_LOADED) == 1
+    assert read_gauge(Cause.NO_HOLDER) == 0
+
+
+def test_job_that_is_opened_in_time_has_no_line(clock, lines):
+    # Guards against lines about each change of a lease.
+    monitor = opening.OpeningMonitor(clock)
+    monitor.update([make_wait()])
+    clock.now_s += opening.MAX_OPENING_S - 0.1
+    monitor.update([make_wait()])
+    clock.now_s += 0.2
+    monitor.update([])
+    clock.now_s += 0.2
+    monitor.update([make_wait()])
+    assert not lines
+    assert read_gauge(Cause.NO_HOLDER) == 0
+
+
+@pytest.fixture
+def kernel(monkeypatch):
+    monkeypatch.setattr(runner_module, 'WATCH_INTERVAL_S', 0.01)
+    monkeypatch.setattr(opening, 'MAX_OPENING_S', 0.05)
+    store = fake_store.FakeStore()
+    with contextlib.closing(store_kernel.StoreKernel(store)) as found:
+        found.add_work_log()
+        found.runner = runner_module.JobRunner(found)
+        yield found
+
+
+def accept(kernel, text_version):
+    log = kernel.plugin('work_log')
+    ((_, part),) = records.split_items(
+        [job_builders.make_item()], store_kernel.RECORD_BYTES
+    )
+    stream = records.text_stream_name('job')
+    (location,) = log.append_texts(stream, [part])
+    accepted = job_builders.make_accepted(item_ids=('i0',))
+    log.append(
+        [
+            records.JobText('job', text_version),
+            records.JobAccepted(
+                accepted.head,
+                ('i0',),
+                ((0, location.offset, location.size_bytes),),
+            ),
+        ]
+    )
+    log.sync()
+    log.clear_text_cache()
+
+
+def hold_no_lease(kernel):
+    kernel.plugin('duties').find_term = lambda _: None
+
+
+def require_newer_text(kernel):
+    kernel.plugin('directory').text = job_builders.make_published_text(
+        version=1
+    )
+
+
+def fail_all_reads(kernel):
+    kernel.store.failing_text_reads = 10**6
+
+
+@pytest.mark.parametrize(
+    ('hinder', 'text_version', 'cause'),
+    [
+        (hold_no_lease, 1, Cause.NO_HOLDER),
+        (require_newer_text, 2, Cause.NO_TEXT),
+        (fail_all_reads, 1, Cause.NOT_LOADED),
+    ],
+)
+def test_status_names_the_cause(kernel, lines, hinder, text_version, cause):
+    # Guards against a count of failed tasks that points to no step.
+    hinder(kernel)
+    accept(kernel, text_version)
+    kernel.spawn('runner', kernel.runner.run)
+    store_kernel.wait_for(
+        lambda: 'job_not_opened' in [name for name, _ in lines]
+    )
+    (row,) = kernel.runner.describe_open_jobs()
+    assert (row['job'], row['state']) == ('job', cause.value)
+    assert row['reason'] and row['waited_s'] > 0
+
+
+def test_job_of_another_holder_is_no_wait(kernel, lines):
+    # Guards against lines of all other daemons about each job.
+    hold_no_lease(kernel)
+    kernel.plugin('duties').is_taken_over = lambda _: True
+    accept(kernel, 1)
+    kernel.spawn('runner', kernel.runner.run)
+    store_kernel.wait_for(lambda: kernel.runner.describe_open_jobs())
+    (row,) = kernel.runner.describe_open_jobs()
+    assert (row['state'], row['reason']) == ('run_elsewhere', '')
