--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -44,6 +44,8 @@
 # second, so a single unresponsive read, detected after 2.3 s, has no effect.
 UNREACHABLE_S = 1.6
 READ_BYTES = 512 * 1024
+# Bound of the types of records that are named in the log.
+MAX_UNKNOWN_TYPES = 100
 FIRST_RETRY_DELAY_S = 0.05
 # 350 daemons that retry at this interval make 1,400 calls a second.
 MAX_RETRY_DELAY_S = 0.25
@@ -438,9 +440,10 @@
             reason = error.message
             _ignored_total.labels('unknown_type').inc()
             # A newer release may write many of them.
-            if reason in self._unknown_types:
+            known = self._unknown_types
+            if reason in known or len(known) >= MAX_UNKNOWN_TYPES:
                 return False
-            self._unknown_types.add(reason)
+            known.add(reason)
         except exceptions.UnreadableRecordError as error:
             reason = error.message
             _ignored_total.labels('unreadable').inc()
