--- a/tests/lib/store_kernel.py
+++ b/tests/lib/store_kernel.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import types
 
 import eventlet
 
 from lentildeal._internal.directory import replicas
+from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import work_log
 from lentildeal._internal.kernel import kernel as kernel_module
 from lentildeal._internal.routing import replica_limits
@@ -89,6 +91,34 @@
             thread.kill()
 
 
+def submit(log, job_id, item_ids, text_version=1, **overrides):
+    """Appends a job whose items are in one part; returns its offset.
+
+    Args:
+        log: Work log.
+        job_id: The job.
+        item_ids: Its items.
+        text_version: Published text of the acceptance.
+        **overrides: Fields of all items.
+    """
+    items = [
+        job_builders.make_item(item_id, **overrides) for item_id in item_ids
+    ]
+    ((_, part),) = records.split_items(items, RECORD_BYTES)
+    (location,) = log.append_texts(records.text_stream_name(job_id), [part])
+    accepted = job_builders.make_accepted(
+        job_id, item_ids, submitted_ms=int(job_builders.NOW_S * 1000)
+    )
+    return log.append(
+        [
+            records.JobText(job_id, text_version),
+            dataclasses.replace(
+                accepted, parts=((0, location.offset, location.size_bytes),)
+            ),
+        ]
+    )
+
+
 def wait_for(condition) -> None:
     """Waits until a condition holds."""
     with eventlet.Timeout(WAIT_S):
--- a/tests/unit/jobs/test_failing_items.py
+++ b/tests/unit/jobs/test_failing_items.py
@@ -52,22 +52,7 @@
 
 
 def submit(log, job_id, item_ids):
-    items = [job_builders.make_item(item_id) for item_id in item_ids]
-    ((_, part),) = records.split_items(items, store_kernel.RECORD_BYTES)
-    (location,) = log.append_texts(records.text_stream_name(job_id), [part])
-    accepted = job_builders.make_accepted(
-        job_id, item_ids, submitted_ms=int(job_builders.NOW_S * 1000)
-    )
-    log.append(
-        [
-            records.JobText(job_id, 1),
-            records.JobAccepted(
-                accepted.head,
-                accepted.item_ids,
-                ((0, location.offset, location.size_bytes),),
-            ),
-        ]
-    )
+    store_kernel.submit(log, job_id, item_ids)
     log.sync()
     return log.table.get(job_id)
 
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -111,10 +111,9 @@
     log.append(
         [
             records.JobText('job', 1),
-            records.JobAccepted(
-                accepted.head,
-                accepted.item_ids,
-                tuple(
+            dataclasses.replace(
+                accepted,
+                parts=tuple(
                     (first, p.offset, p.size_bytes)
                     for first, p in zip((0, 2), locations, strict=True)
                 ),
--- a/tests/unit/jobs/test_opening.py
+++ b/tests/unit/jobs/test_opening.py
@@ -6,7 +6,6 @@
 import pytest
 
 from lentildeal._internal.jobs import opening
-from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import runner as runner_module
 from lentildeal._internal.logs import events
 from tests.lib import fake_store
@@ -100,22 +99,7 @@
 
 def accept(kernel, text_version):
     log = kernel.plugin('work_log')
-    ((_, part),) = records.split_items(
-        [job_builders.make_item()], store_kernel.RECORD_BYTES
-    )
-    stream = records.text_stream_name('job')
-    (location,) = log.append_texts(stream, [part])
-    accepted = job_builders.make_accepted(item_ids=('i0',))
-    log.append(
-        [
-            records.JobText('job', text_version),
-            records.JobAccepted(
-                accepted.head,
-                ('i0',),
-                ((0, location.offset, location.size_bytes),),
-            ),
-        ]
-    )
+    store_kernel.submit(log, 'job', ('i0',), text_version)
     log.sync()
     log.clear_text_cache()
 
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -43,25 +43,7 @@
     return kernel.plugins['work_log']
 
 
-def submit(log, job_id, item_ids, text_version=1, **overrides):
-    items = [
-        job_builders.make_item(item_id, **overrides) for item_id in item_ids
-    ]
-    ((_, part),) = records.split_items(items, 262_144)
-    (location,) = log.append_texts(records.text_stream_name(job_id), [part])
-    accepted = job_builders.make_accepted(
-        job_id, item_ids, submitted_ms=int(job_builders.NOW_S * 1000)
-    )
-    log.append(
-        [
-            records.JobText(job_id, text_version),
-            records.JobAccepted(
-                accepted.head,
-                accepted.item_ids,
-                ((0, location.offset, location.size_bytes),),
-            ),
-        ]
-    )
+submit = store_kernel.submit
 
 
 @pytest.mark.parametrize('failures', [0, 1, 2])
