Move the watch over unopened jobs out of the scheduler

The scheduler had grown by its description of jobs that it does not run. The decision when a wait is too long is a class of its own, without I/O; the line and the status are built beside it.

--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -47,7 +47,6 @@
 MAX_FAILED_LOADS = 5
 # Time for which an item may fail with unexpected errors until it is given up.
 MAX_FAILING_S = 5.0
-WATCH_INTERVAL_S = 1.0
 
 _attempts_total = prometheus_client.Counter(
     'lentildeal_item_attempts_total',
@@ -94,8 +93,7 @@
             self._log, store.retention_s, store.call_bytes
         )
         self._checkpointed_s = 0.0
-        self._opening_monitor = opening.OpeningMonitor()
-        self._watched_s = 0.0
+        self._opening_monitor = opening.OpeningMonitor(kernel, self._jobs)
         self._is_draining = False
 
     @property
@@ -132,7 +130,7 @@
             self._score_generated,
             self._save_progress,
             self._renew_held,
-            self._watch_opening,
+            self._opening_monitor.report_waits,
             self._connections.close_expired,
         )
 
@@ -150,35 +148,7 @@
 
     def describe_open_jobs(self) -> list[dict[str, typing.Any]]:
         """Describes all open jobs as JSON values, the oldest first."""
-        return [
-            self._describe_open_job(entry)
-            for entry in self._log.table.iter_open()
-        ]
-
-    def _describe_open_job(
-        self, entry: table.JobEntry
-    ) -> dict[str, typing.Any]:
-        head = entry.head
-        found = self._find_wait(entry)
-        job = self._jobs.get(head.job_id)
-        own = [] if job is None else list(job.iter_tasks())
-        state = 'run_elsewhere' if job is None else 'open'
-        lease_name = lease_manager.jobs_lease_name(head.model)
-        return {
-            'job': head.job_id,
-            'model': head.model,
-            'step': head.step,
-            'holder': self._log.leases.get(lease_name).holder,
-            'state': state if found is None else found.cause.value,
-            'reason': '' if found is None else found.reason,
-            'waited_s': round(
-                self._opening_monitor.get_waited_s(head.job_id), 1
-            ),
-            'items': head.item_count,
-            'listed': len(entry.results),
-            'running': sum(task.attempt is not None for task in own),
-            'waiting': sum(task.is_waiting for task in own),
-        }
+        return self._opening_monitor.describe_open_jobs()
 
     # Errors of single items.
 
@@ -225,38 +195,6 @@
                 job = self._jobs[entry.head.job_id] = open_jobs.OpenJob(entry)
                 self._kernel.spawn('job-load', self._load_items, job)
 
-    def _watch_opening(self) -> None:
-        """Reports jobs whose items no daemon runs."""
-        now_s = clock.monotonic_s()
-        if now_s - self._watched_s < WATCH_INTERVAL_S:
-            return
-        self._watched_s = now_s
-        found = map(self._find_wait, self._log.table.iter_open())
-        self._opening_monitor.update(job for job in found if job is not None)
-
-    def _find_wait(
-        self, entry: table.JobEntry
-    ) -> typing.Optional[opening.WaitingJob]:
-        """Why the items of a job are not run, None if a daemon runs them."""
-        head = entry.head
-        job = self._jobs.get(head.job_id)
-        cause = opening.WaitCause.NOT_LOADED
-        if job is not None:
-            if job.tasks is not None:
-                return None
-            reason = job.load_error or 'the items are being read'
-        elif self._holds_lease(head.model):
-            cause = opening.WaitCause.NO_TEXT
-            reason = f'text {entry.text_version} has not been read'
-        elif self._lease_manager.is_taken_over(
-            lease_manager.jobs_lease_name(head.model)
-        ):
-            return None
-        else:
-            cause = opening.WaitCause.NO_HOLDER
-            reason = f'no daemon holds the jobs of {head.model!r:.50}'
-        return opening.WaitingJob(head, cause, reason)
-
     def _has_text(self, entry: table.JobEntry) -> bool:
         """Whether the text that allowed a job, or a newer one, is known.
 
--- a/tests/unit/jobs/test_opening.py
+++ b/tests/unit/jobs/test_opening.py
@@ -50,45 +50,37 @@
     )
 
 
-def test_job_that_waits_has_one_line_for_each_cause(clock, lines):
-    # Guards against a step that stands still without a trace.
-    monitor = opening.OpeningMonitor(clock)
+def test_job_that_waits_is_found_once_for_each_cause(clock):
+    # Guards against a step that stands still without a trace, and against a
+    # line about it in each round.
+    tracker = opening.WaitTracker(clock)
+    found = []
     for _ in range(10):
-        monitor.update([make_wait()])
+        found += tracker.record([make_wait()])
         clock.now_s += 1.0
-    monitor.update([make_wait(Cause.NOT_LOADED)])
-    assert [fields['cause'] for _, fields in lines] == [
-        'no_holder',
-        'not_loaded',
-    ]
-    name, fields = lines[0]
-    assert (name, fields['step'], fields['reason']) == (
-        'job_not_opened',
-        7,
-        'the reason',
-    )
-    assert fields['waited_ms'] >= 1000 * opening.MAX_OPENING_S
+    found += tracker.record([make_wait(Cause.NOT_LOADED)])
+    assert [job.cause for job in found] == [Cause.NO_HOLDER, Cause.NOT_LOADED]
+    assert tracker.get_waited_s('job') == 10.0
     assert read_gauge(Cause.NOT_LOADED) == 1
     assert read_gauge(Cause.NO_HOLDER) == 0
 
 
-def test_job_that_is_opened_in_time_has_no_line(clock, lines):
+def test_job_that_is_opened_in_time_is_not_found(clock):
     # Guards against lines about each change of a lease.
-    monitor = opening.OpeningMonitor(clock)
-    monitor.update([make_wait()])
+    tracker = opening.WaitTracker(clock)
+    assert not tracker.record([make_wait()])
     clock.now_s += opening.MAX_OPENING_S - 0.1
-    monitor.update([make_wait()])
+    assert not tracker.record([make_wait()])
     clock.now_s += 0.2
-    monitor.update([])
+    assert not tracker.record([])
     clock.now_s += 0.2
-    monitor.update([make_wait()])
-    assert not lines
+    assert not tracker.record([make_wait()])
     assert read_gauge(Cause.NO_HOLDER) == 0
 
 
 @pytest.fixture
 def kernel(monkeypatch):
-    monkeypatch.setattr(runner_module, 'WATCH_INTERVAL_S', 0.01)
+    monkeypatch.setattr(opening, 'CHECK_INTERVAL_S', 0.01)
     monkeypatch.setattr(opening, 'MAX_OPENING_S', 0.05)
     store = fake_store.FakeStore()
     with contextlib.closing(store_kernel.StoreKernel(store)) as found:
@@ -134,6 +126,8 @@
     store_kernel.wait_for(
         lambda: 'job_not_opened' in [name for name, _ in lines]
     )
+    fields = dict(lines)['job_not_opened']
+    assert (fields['cause'], fields['step']) == (cause.value, 1)
     (row,) = kernel.runner.describe_open_jobs()
     assert (row['job'], row['state']) == ('job', cause.value)
     assert row['reason'] and row['waited_s'] > 0
