Give up a job that fails to load by time, and only under the lease

Five failed loads are one second, which an unexpected error that passes may take; now it is the five seconds after which single items are given up. A daemon that has lost the lease of an item gives nothing up: the next holder runs it.

test_failing_items.py and test_lost_items.py pass.

--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -43,9 +43,8 @@
 # Generating fewer events again costs less than a checkpoint.
 CHECKPOINT_MIN_EVENTS = 15
 OPEN_RETRY_S = 0.2
-# Unexpected errors in loading a job after which its items are given up.
-MAX_FAILED_LOADS = 5
-# Time for which an item may fail with unexpected errors until it is given up.
+# Time for which an item, or the load of a job, may fail with unexpected errors
+# until it is given up.
 MAX_FAILING_S = 5.0
 
 _attempts_total = prometheus_client.Counter(
@@ -180,6 +179,8 @@
         failing_s = task.record_internal_error()
         if task.is_done or task.attempt or failing_s < MAX_FAILING_S:
             return
+        if not self._holds_lease(task.entry.head.model):
+            return
         self._scorer.stop(task)
         self._recorder.list_result(
             task, jobs.ResultState.GIVEN_UP, jobs.Progress()
@@ -240,7 +241,7 @@
         loaded for another reason are given up.
         """
         job_id = job.entry.head.job_id
-        failed_loads = 0
+        failing_since_s: typing.Optional[float] = None
         while self._jobs.get(job_id) is job:
             try:
                 loaded = loading.load_job(
@@ -255,8 +256,9 @@
             except Exception as error:
                 failures.report('job_load', job_id, error)
                 job.load_error = f'internal error: {error!r:.200}'
-                failed_loads += 1
-                if failed_loads >= MAX_FAILED_LOADS:
+                now_s = clock.monotonic_s()
+                failing_since_s = failing_since_s or now_s
+                if now_s - failing_since_s >= MAX_FAILING_S:
                     loaded = loading.give_up_job(job.entry, job.load_error)
                     self._open(job, loaded)
                     return
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -210,6 +210,7 @@
         raise RecursionError
 
     monkeypatch.setattr(loading, 'load_job', fail)
+    monkeypatch.setattr(runner_module, 'MAX_FAILING_S', 0.2)
     start_runner(kernel)
     store_kernel.wait_for(lambda: find_given_up(entry) == set(ITEM_IDS))
 
