--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -28,6 +28,10 @@
 )
 
 
+# Items of a job, or why they are lost.
+_Part = typing.Union[records.JobPart, exceptions.PlatformError]
+
+
 class LostItem(typing.NamedTuple):
     """An item that can't be run, as its request can't be read.
 
@@ -82,8 +86,6 @@
             if entry.is_listed(index):
                 continue
             try:
-                if isinstance(part, exceptions.LentildealError):
-                    raise part
                 item = _get_item(part, entry, first, index)
                 task = _make_task(work_log, text, entry, index, item)
             except LOST_ERRORS as error:
@@ -159,7 +161,7 @@
 
 def _load_parts(
     work_log: work_log_module.WorkLog, entry: table.JobEntry
-) -> list[typing.Union[records.JobPart, exceptions.LentildealError]]:
+) -> list[_Part]:
     """Loads the parts of a job, an error in place of those that are lost."""
     locations = [location for _, location in entry.parts]
     try:
@@ -168,7 +170,7 @@
         found = [None]
     if all(isinstance(part, records.JobPart) for part in found):
         return found
-    parts: list = []
+    parts: list[_Part] = []
     for location in locations:
         try:
             parts.append(_load_part(work_log, location))
@@ -198,8 +200,22 @@
 
 
 def _get_item(
-    part: records.JobPart, entry: table.JobEntry, first: int, index: int
+    part: _Part, entry: table.JobEntry, first: int, index: int
 ) -> jobs.Item:
+    """Returns an item of a part of a job.
+
+    Args:
+        part: The part.
+        entry: The job.
+        first: Index of the first item of the part.
+        index: Index of the item.
+
+    Raises:
+        exceptions.PlatformError: The part or the item can't be read; one of
+            ``LOST_ERRORS``.
+    """
+    if isinstance(part, exceptions.PlatformError):
+        raise part
     item = part.get_item(index - first)
     if item.item_id != entry.item_ids[index]:
         raise exceptions.UnreadableRecordError(
