Revert "Send the report of use with the fewest failed calls first"

Its logs show why: the platform throttled the reports of windows ...110 and ...111, the call for ...112 was not sent, as the holder did not read the log at that moment, and all three counted as failed calls, so that the holder went on with ...113 and ...114. The daemons stopped before they came back to ...112.

A platform that throttles or does not answer refuses any report, and then the oldest is the most urgent. Only a report that the platform rejects for what it holds should be passed over; the adapter does not tell the two apart.

--- a/src/lentildeal/_internal/usage/plugin.py
+++ b/src/lentildeal/_internal/usage/plugin.py
@@ -177,7 +177,7 @@
                 self._book.confirm(report.window)
                 self._calls.handle_refusal(lease_manager.USAGE_LEASE)
             else:
-                self._book.record_failure(report.window, self._clock.now_s())
+                self._book.record_failure(self._clock.now_s())
                 return
 
     def _handle_counts(self, record: records.UsageCounts) -> None:
--- a/src/lentildeal/_internal/usage/reports.py
+++ b/src/lentildeal/_internal/usage/reports.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import collections
 import typing
 
 from lentildeal._internal.adapters import platform_base
@@ -49,8 +48,6 @@
         self._counts = counting.CountLedger()
         self._reports: dict[int, dict[ids.AccountName, int]] = {}
         self._confirmed: set[int] = set()
-        # Calls without a clear answer, by window.
-        self._failures: collections.Counter[int] = collections.Counter()
         self._next_s = 0.0
         self._retry_s = FIRST_RETRY_S
 
@@ -102,26 +99,21 @@
         return self._counts.get(window)
 
     def list_to_send(self, now_s: float) -> list[platform_base.UsageReport]:
-        """Reports that are to be sent now, the next one first.
-
-        A report that the platform does not take comes after the others, and
-        does not make them late.
-        """
+        """Reports that are to be sent now, oldest first."""
         if now_s < self._next_s:
             return []
         return [
             platform_base.UsageReport(window, self._reports[window])
-            for window in sorted(self._reports, key=self._sending_key)
+            for window in sorted(self._reports)
             if window not in self._confirmed
             and self.measure_age_s(window, now_s) <= self._give_up_age_s
         ]
 
-    def record_failure(self, window: int, now_s: float) -> None:
+    def record_failure(self, now_s: float) -> None:
         """Delays all reports after a call without a clear answer.
 
         A platform that is down gets one call at a time.
         """
-        self._failures[window] += 1
         self._next_s = now_s + self._retry_s
         self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
 
@@ -131,11 +123,6 @@
         self._counts.drop_before(oldest)
         self._reports = {w: r for w, r in self._reports.items() if w >= oldest}
         self._confirmed = {w for w in self._confirmed if w >= oldest}
-        for window in [w for w in self._failures if w < oldest]:
-            del self._failures[window]
-
-    def _sending_key(self, window: int) -> tuple[int, int]:
-        return self._failures[window], window
 
     @property
     def _give_up_age_s(self) -> float:
