--- a/tests/unit/scaling/test_plugin.py
+++ b/tests/unit/scaling/test_plugin.py
@@ -143,3 +143,24 @@
         times[0] += pauses[-1]
     assert pauses == sorted(pauses)
     assert pauses[-1] == pytest.approx(duties_plugin.LONGEST_PAUSE_S)
+
+
+def test_service_that_fails_costs_itself_alone(start, monkeypatch):
+    """Guards against one service whose error ends the round of all."""
+    original = plugin.ReplicaScaling._observe
+
+    def observe(self, service):
+        if service.name == 'broken':
+            raise LookupError('unexpected')
+        original(self, service)
+
+    monkeypatch.setattr(plugin.ReplicaScaling, '_observe', observe)
+    daemon = start()
+    services = daemon.directory.text.services
+    broken = dataclasses.replace(services[job_builders.SERVICE], name='broken')
+    # The first one in the order of the text.
+    others = dict(services)
+    services.clear()
+    services.update({'broken': broken, **others})
+    store_kernel.wait_for(lambda: daemon.platform.calls)
+    assert daemon.platform.calls[0].service == job_builders.SERVICE
