review/12: an extra answer of 500 gives up an item that has attempts left

Half of the replicas send 3 in 100 of their answers once more, where the next response on the connection is expected. The third attempt of an item that has failed at both of its replicas goes to one of them on the connection that was used for it last, and the copy of the earlier 500 is taken for its answer: the id is the same. The item is listed as down after two answers of 500 of the three that its route allows, while the replica runs it.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")" && exec python3 case.py
