--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -199,12 +199,12 @@
 class Daemon:
     """One daemon as a separate process."""
 
-    def __init__(self, name, store, directory, **sections):
+    def __init__(self, name, platform, directory, **sections):
         self.name = name
         self.port = find_free_port()
         ready, metrics = find_free_port(), find_free_port()
         store_section = {
-            'address': store.address,
+            'address': platform.address,
             'record_bytes': 262144,
             'call_bytes': 2097152,
             'retention_s': 300,
