--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,6 @@
 """A replica's answer without a length is reset on the way."""
 
+import os
 import pathlib
 import socket
 import struct
@@ -148,4 +149,4 @@
     return broken > 0
 
 
-lib.run(main, HERE)
+lib.run(main, HERE / 'record.txt', os.environ.get('TROUBLE') != '0')
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -37,10 +37,10 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes to a file what was sent, answered and run."""
 
-    def __init__(self, directory):
-        self._file = open(pathlib.Path(directory) / 'record.txt', 'w')
+    def __init__(self, path):
+        self._file = open(path, 'w')
         self._lock = threading.Lock()
         self._started_s = time.monotonic()
 
@@ -387,10 +387,13 @@
             wait_for(daemon.is_ready, f'{daemon.name} is ready')
 
 
-def run(main, directory):
-    """Runs a case; exits with 0 (held), 1 (broken) or 2 (could not run)."""
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Record(directory)
+def run(main, record_path, has_trouble):
+    """Runs a case; exits with 0 (held), 1 (broken) or 2 (could not run).
+
+    Ends its daemons also when it is told to stop.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(record_path)
     status = 2
     try:
         with World() as world:
