--- a/review/12/case.py
+++ b/review/12/case.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import os
 import pathlib
 import random
 import socket
@@ -326,4 +327,4 @@
     return result['State'] == 'down' and failed < MAX_ATTEMPTS
 
 
-lib.run(main, HERE)
+lib.run(main, HERE / 'record.txt', os.environ.get('TROUBLE') != '0')
