Tell a reset from the end of an answer

A replica's answer without a length or chunks ends with its connection.

Cause: recv() of eventlet's sockets returns no bytes for ECONNRESET, ENOTCONN and ESHUTDOWN, as at the end of a stream, so the reader's branch for a ConnectionError was never reached. Ruled out: a length sent by the replica (the daemon made it from the part), an answer of another request (the ids agree).

Change: network/green_sockets.py reads from the socket below the green one, which raises; all answers are read through it. This holds for any status, route and position of the reset, because it tells the two ends apart where they are read and not where a body is judged.

--- a/src/lentildeal/_internal/network/response_reader.py
+++ b/src/lentildeal/_internal/network/response_reader.py
@@ -15,6 +15,7 @@
 import httptools
 
 from lentildeal._internal import exceptions
+from lentildeal._internal.network import green_sockets
 from lentildeal._internal.network import yielding
 from lentildeal._internal.utils import clock
 
@@ -259,7 +260,7 @@
 
     def _receive(self) -> bytes:
         try:
-            data = self._socket.recv(READ_BYTES)
+            data = green_sockets.receive(self._socket, READ_BYTES)
         except ConnectionError as error:
             raise self._make_closed_error(repr(error)) from error
         except OSError as error:
--- a/tests/lib/answer_bytes.py
+++ b/tests/lib/answer_bytes.py
@@ -24,12 +24,18 @@
 
 
 class ScriptedSocket:
-    """A socket from which given parts arrive, then the end of the stream."""
+    """A green socket from which given parts arrive, then the end.
+
+    Attributes:
+        fd: Socket below the green one.
+        is_closed: Whether it was closed.
+    """
 
     def __init__(self, parts: typing.Iterable[bytes]) -> None:
         # An empty part would be the end of the stream.
         self._parts = filter(None, parts)
         self._held = b''
+        self.fd = self
         self.is_closed = False
 
     def settimeout(self, _seconds: float) -> None:
--- a/tests/lib/raw_server.py
+++ b/tests/lib/raw_server.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import socket
+import struct
 import time
 import typing
 
 from tests.lib import keep_alive_server
 
 OK = b'HTTP/1.1 200 OK\r\n'
+# Part of a script that resets the connection.
+RESET = object()
 # Ends a script that sends without end if the caller does not close.
 MAX_BYTES = 400 * 1024 * 1024
 
@@ -16,7 +20,7 @@
 class RawServer(keep_alive_server.KeepAliveServer):
     """Sends the parts of a script as the answer to each request.
 
-    A part is bytes, a number of seconds to wait, or None to close.
+    A part is bytes, a number of seconds to wait, None to close, or ``RESET``.
 
     Attributes:
         sent_bytes: Bytes that the sockets have taken.
@@ -26,7 +30,7 @@
     def __init__(
         self,
         make_script: typing.Callable[
-            [bytes], typing.Iterable[typing.Union[bytes, float, None]]
+            [bytes], typing.Iterable[typing.Union[bytes, float, object, None]]
         ],
     ) -> None:
         self.sent_bytes = 0
@@ -59,7 +63,9 @@
     def _send(self, connection, request: bytes) -> bool:
         """Sends the answer; returns whether the connection stays open."""
         for part in self._make_script(request):
-            if part is None:
+            if part is RESET:
+                reset_on_close(connection)
+            if part is RESET or part is None:
                 return False
             if isinstance(part, bytes):
                 connection.sendall(part)
@@ -71,6 +77,13 @@
         return True
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """Makes the close of a connection reset it."""
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+
+
 def repeat(*parts: typing.Union[bytes, float]) -> typing.Iterator:
     """Yields parts without end."""
     while True:
