Reset a broken stream to a client that takes no chunks

A stream that broke at its replica, a client that was too slow, a planned stop or a kill of the daemon ended a stream to a client of HTTP/1.0 in the same way as its complete end, so that the client took a part for the whole.

Cause: such a client sees only how its connection ends, and the server, as well as the system at the end of a process, closed it in order.

Change: SO_LINGER with 0 s from the first part to the last one of a body of unknown length, if the client takes no chunks. The server's own reset waits up to 0.5 s for the bytes before it.

--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import fcntl
 import re
 import socket
+import struct
+import sys
+import termios
 import typing
 
 import eventlet
@@ -13,6 +17,7 @@
 
 from lentildeal._internal.network import bounded_reads
 from lentildeal._internal.network import shedding
+from lentildeal._internal.utils import clock
 
 if typing.TYPE_CHECKING:
     from lentildeal._internal.network import http_server
@@ -22,6 +27,8 @@
 HOLDER_KEY = 'lentildeal.holder'
 # Key of the function that closes the connection after the response.
 CLOSE_KEY = 'lentildeal.close_connection'
+# Key of the function that guards a body of unknown length.
+GUARD_KEY = 'lentildeal.guard_stream'
 HEAD_END = b'\r\n\r\n'
 BAD_REQUEST = (
     b'HTTP/1.1 400 Bad Request\r\n'
@@ -39,6 +46,11 @@
 # hundred times as much; callers wait for less than this time.
 WRITE_TIMEOUT_S = 15.0
 MIN_WRITE_BYTES_PER_S = 16 * 1024
+# Time for the last bytes before a reset, which discards what was not sent. A
+# lost packet is sent again after 0.2 s.
+SEND_REST_S = 0.5
+SEND_REST_POLL_S = 0.01
+_LINGER = struct.Struct('ii')
 
 _slow_clients_total = prometheus_client.Counter(
     'lentildeal_slow_clients_total',
@@ -51,6 +63,9 @@
 
     The socket's timeout starts anew with each byte that the client takes, so a
     client that reads a byte now and then would hold a response without end.
+
+    Attributes:
+        has_timed_out: Whether the client did not take a part in time.
     """
 
     def __init__(
@@ -62,6 +77,7 @@
         self._writer = writer
         self._connection = connection
         self._holder = holder
+        self.has_timed_out = False
 
     @property
     def closed(self) -> bool:
@@ -116,6 +132,7 @@
             if expired is not timeout:
                 raise
             _slow_clients_total.inc()
+            self.has_timed_out = True
             # Later writes fail at once and do not wait again.
             with contextlib.suppress(OSError):
                 self._connection.shutdown(socket.SHUT_RDWR)
@@ -129,6 +146,16 @@
                 holder.enter(phase)
 
 
+def _count_unsent(connection: typing.Any) -> int:
+    """Returns the bytes that the client has not confirmed yet."""
+    try:
+        found = fcntl.ioctl(connection, termios.TIOCOUTQ, b'\0' * 4)
+    except (OSError, ValueError):
+        # The connection is lost or closed.
+        return 0
+    return int.from_bytes(found, sys.byteorder)
+
+
 class Protocol(eventlet.wsgi.HttpProtocol):
     """Counts requests, bounds reads, closes connections when needed."""
 
@@ -141,6 +168,9 @@
     ) -> None:
         self._owner = owner
         self._is_counted = False
+        # Whether a response has begun that only the end of the connection
+        # ends.
+        self._is_in_stream = False
         self._head_timeout: typing.Optional[eventlet.Timeout] = None
         self._holder = owner.take_holder(conn_state[1])
         try:
@@ -193,7 +223,10 @@
         """
         self._owner.forget_connection(self)
         try:
-            super().finish()
+            if self._is_in_stream:
+                self._reset()
+            else:
+                super().finish()
         finally:
             with contextlib.suppress(OSError, ValueError):
                 self.rfile.close()
@@ -206,12 +239,63 @@
         return {
             **super().get_environ(),
             CLOSE_KEY: self._close_after_response,
+            GUARD_KEY: self._guard_stream,
             HOLDER_KEY: self._holder,
         }
 
     def _close_after_response(self) -> None:
         self.close_connection = 1
 
+    def _guard_stream(
+        self, body: typing.Iterator[bytes]
+    ) -> typing.Iterator[bytes]:
+        """Yields a body; the connection is reset unless it is complete.
+
+        Clients of HTTP/1.0 take no chunks, so that only the end of the
+        connection shows them whether the body is complete.
+        """
+        if self.request_version == 'HTTP/1.1':
+            return body
+        return self._iter_until_close(body)
+
+    def _iter_until_close(
+        self, body: typing.Iterator[bytes]
+    ) -> typing.Iterator[bytes]:
+        try:
+            for part in body:
+                if not self._is_in_stream:
+                    # An error before the first part is answered as such.
+                    self._set_reset_on_close(True)
+                yield part
+            if self._is_in_stream:
+                self._set_reset_on_close(False)
+        finally:
+            if hasattr(body, 'close'):
+                body.close()
+
+    def _set_reset_on_close(self, is_reset: bool) -> None:
+        """Chooses how the connection ends, also if the process is killed."""
+        self._is_in_stream = is_reset
+        with contextlib.suppress(OSError):
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(is_reset, 0)
+            )
+
+    def _reset(self) -> None:
+        """Sends what was written, then closes without an orderly end."""
+        deadline = clock.Deadline(SEND_REST_S)
+        while (
+            not self.wfile.has_timed_out
+            and not deadline.has_passed
+            and _count_unsent(self.connection)
+        ):
+            eventlet.sleep(SEND_REST_POLL_S)
+        # Each of them holds the descriptor.
+        for file in (self.wfile, self.rfile):
+            with contextlib.suppress(OSError):
+                file.close()
+        self.connection.close()
+
     def parse_request(self) -> bool:
         """Also rejects defective heads and ambiguous body lengths.
 
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -107,7 +107,8 @@
     """One HTTP response; a body that is an iterator is sent in chunks.
 
     If the iterator raises, the connection is closed without the last chunk,
-    so that the client can detect the incomplete response.
+    or reset if the client takes no chunks, so that the client can detect the
+    incomplete response.
     """
 
     status: int = 200
@@ -323,6 +324,8 @@
             )
             headers['Content-Length'] = str(len(body))
             body = [body]
+        else:
+            body = environ[http_protocol.GUARD_KEY](body)
         status = (
             f'{response.status} {problems.get_reason_phrase(response.status)}'
         )
