Count only an identified 500 as a failed attempt of an item

An item is given up after MaxAttempts failed attempts. Each answer with a status from 500 up counted as one, and so did a 500 or 422 that named no request. So an item whose attempts met 502 or 504, or an answer whose id had been lost, was listed as down too early.

Change: only 500 counts, and an answer other than a refusal has to name the item; the others are broken attempts, which are repeated at another replica.

--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -20,6 +20,7 @@
 # bounds reads of attempts that the runner no longer tracks.
 SOCKET_TIMEOUT_S = 20.0
 UNPROCESSABLE_STATUS = 422
+FAILED_STATUS = 500
 # Memory for the text of an attempt, and for each of its events beside the
 # data. The store takes no larger texts.
 MAX_TEXT_BYTES = 2 * 1024 * 1024
@@ -165,8 +166,8 @@
     ) -> AttemptOutcome:
         info = self._platform.read_response(response.status, response.headers)
         # Only a refusal may lack the request ID.
-        is_foreign = info.request_id not in (None, item.item_id)
-        if is_foreign or (response.status == 200 and not info.request_id):
+        may_lack_id = info.is_not_run and info.request_id is None
+        if info.request_id != item.item_id and not may_lack_id:
             self.reason = f'response to another request, {info.request_id}'
             return AttemptOutcome.BROKEN
         # Reported before the body is read, as the load is outdated within
@@ -191,11 +192,11 @@
             return AttemptOutcome.NOT_RUN
         if response.status == UNPROCESSABLE_STATUS:
             return AttemptOutcome.IMPOSSIBLE
-        return (
-            AttemptOutcome.FAILED
-            if response.status >= 500
-            else AttemptOutcome.BROKEN
-        )
+        # Other errors, such as those of an intermediary, say nothing about
+        # the item.
+        if response.status == FAILED_STATUS:
+            return AttemptOutcome.FAILED
+        return AttemptOutcome.BROKEN
 
     def _read_events(
         self, response: client_connections.Response
--- a/tests/unit/jobs/test_attempts.py
+++ b/tests/unit/jobs/test_attempts.py
@@ -121,3 +121,27 @@
     assert attempt.run_events == (7 if is_sound else 1)
     has_advanced = attempt.last_received_s > attempt.first_event_s
     assert has_advanced == is_sound
+
+
+@pytest.mark.parametrize(
+    'status, request_id, outcome',
+    [
+        (b'500 Error', b'i0', attempts.AttemptOutcome.FAILED),
+        (b'422 No', b'i0', attempts.AttemptOutcome.IMPOSSIBLE),
+        (b'502 Bad Gateway', b'i0', attempts.AttemptOutcome.BROKEN),
+        (b'503 Unavailable', b'i0', attempts.AttemptOutcome.BROKEN),
+        (b'504 Timeout', b'i0', attempts.AttemptOutcome.BROKEN),
+        (b'599 Error', b'i0', attempts.AttemptOutcome.BROKEN),
+        (b'500 Error', b'', attempts.AttemptOutcome.BROKEN),
+        (b'422 No', b'', attempts.AttemptOutcome.BROKEN),
+        (b'422 No', b'i1', attempts.AttemptOutcome.BROKEN),
+    ],
+)
+def test_only_an_identified_500_is_a_failed_attempt(
+    status, request_id, outcome
+):
+    """Guards against an item that is given up for answers of other kinds."""
+    name = b'Lentildeal-Request-Id: ' if request_id else b'X-None: '
+    head = b'HTTP/1.1 %s\r\n%s%s\r\n' % (status, name, request_id)
+    found, _ = run(head + b'Content-Length: 0\r\n\r\n', jobs.Progress())
+    assert found is outcome
