Never send an id twice on a connection to a target

Cause: an id names the work and not the attempt, so on a kept connection it does not tell the copy of an earlier answer from the awaited one.

Change: a connection keeps the ids of its requests, and an idle one that has carried an id is not used for it again. It is closed after 100 of them. Weighed: to keep no connection after a failure (each refusal of a full replica would cost a connection; successes can come twice too), to drain a connection before its use (the copy comes later).

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -385,6 +385,7 @@
                 call.body,
                 read_timeout_s=max(0.001, deadline.remaining_s),
                 is_repeatable=route.kind is deployment.RouteKind.SAFE,
+                request_id=call.request_id,
             )
         except exceptions.NotRunError as error:
             return calls.AttemptResult(replica, None, True, error.message)
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -140,6 +140,7 @@
                 item.body,
                 read_timeout_s=SOCKET_TIMEOUT_S,
                 is_repeatable=True,
+                request_id=item.item_id,
             )
         except exceptions.NotRunError as error:
             self.reason = error.message
--- a/src/lentildeal/_internal/network/client_connections.py
+++ b/src/lentildeal/_internal/network/client_connections.py
@@ -16,6 +16,7 @@
 import typing
 
 from eventlet.green import socket
+import prometheus_client
 
 from lentildeal._internal import exceptions
 from lentildeal._internal.network import response_reader
@@ -28,6 +29,10 @@
 # A connection is no longer used this long before its server closes it.
 IDLE_MARGIN_S = 0.5
 
+# Identified requests after which a connection is closed. It keeps their
+# identifiers, about 100 bytes each.
+MAX_IDENTIFIED_REQUESTS = 100
+
 # Largest body that is kept in memory. Twenty of them take a third of the
 # memory of the smallest instances.
 MAX_BODY_BYTES = 2 * 1024 * 1024
@@ -40,6 +45,11 @@
 
 Headers = typing.Sequence[tuple[str, str]]
 
+_skipped_total = prometheus_client.Counter(
+    'lentildeal_connections_skipped_total',
+    'Idle connections not used for a request, as they had carried its id.',
+)
+
 
 class Request(typing.NamedTuple):
     """A request that is sent unchanged.
@@ -49,12 +59,15 @@
         target: Path and query.
         headers: Names and values.
         body: Complete body.
+        request_id: Identifier by which the response is known, if there is
+            one. All attempts at the same work may share it.
     """
 
     method: str
     target: str
     headers: Headers
     body: bytes = b''
+    request_id: typing.Optional[str] = None
 
     def write(self, sock: typing.Any, address: str) -> None:
         """Writes the request; names the address as host if no header does.
@@ -89,6 +102,7 @@
     def __init__(self, sock: typing.Any, address: str) -> None:
         self._socket = sock
         self._address = address
+        self._request_ids: set[str] = set()
 
     @classmethod
     def connect(cls, address: str, timeout_s: float) -> ClientConnection:
@@ -124,6 +138,15 @@
             return False
         return False
 
+    @property
+    def is_worn(self) -> bool:
+        """Whether it has carried as many identified requests as it may."""
+        return len(self._request_ids) >= MAX_IDENTIFIED_REQUESTS
+
+    def has_carried(self, request_id: typing.Optional[str]) -> bool:
+        """Whether it was used for a request with this identifier."""
+        return request_id in self._request_ids
+
     def set_timeout(self, seconds: float) -> None:
         """Sets the longest wait of a read or a write."""
         self._socket.settimeout(seconds)
@@ -151,6 +174,8 @@
             timeout_s=timeout_s,
         )
         has_response = False
+        if request.request_id is not None:
+            self._request_ids.add(request.request_id)
         try:
             self.set_timeout(timeout_s)
             self._write(request)
@@ -201,17 +226,36 @@
         self._max_idle_s = max_idle_s
         self._idle: dict[str, collections.deque[_IdleConnection]] = {}
 
-    def pop(self, address: str) -> typing.Optional[ClientConnection]:
-        """Takes a usable connection, the one that was used last."""
-        queue = self._idle.get(address)
-        while queue:
+    def pop(
+        self, address: str, request_id: typing.Optional[str] = None
+    ) -> typing.Optional[ClientConnection]:
+        """Takes a usable connection, the one that was used last.
+
+        A server may send a copy of an earlier response where the next one is
+        expected. Only the identifier tells them apart, so no connection
+        carries the same one twice.
+
+        Args:
+            address: Address of the server.
+            request_id: Identifier of the next request, if it has one.
+        """
+        queue = self._idle.get(address, collections.deque())
+        skipped: list[_IdleConnection] = []
+        found = None
+        while queue and found is None:
             idle = queue.pop()
             is_usable = idle.usable_until_s > clock.monotonic_s()
             # Unread bytes on an idle connection belong to no request.
-            if is_usable and idle.connection.is_reusable:
-                return idle.connection
-            idle.connection.close()
-        return None
+            if not is_usable or not idle.connection.is_reusable:
+                idle.connection.close()
+            elif idle.connection.has_carried(request_id):
+                skipped.append(idle)
+            else:
+                found = idle.connection
+        if skipped:
+            _skipped_total.inc(len(skipped))
+            queue.extend(reversed(skipped))
+        return found
 
     def put_back(
         self,
@@ -221,7 +265,8 @@
     ) -> None:
         """Keeps a connection after its response, or closes it."""
         idle_s = self._read_idle_s(reader.headers)
-        if idle_s <= 0 or not reader.may_reuse_connection:
+        is_kept = reader.may_reuse_connection and not connection.is_worn
+        if idle_s <= 0 or not is_kept:
             connection.close()
             return
         queue = self._idle.setdefault(address, collections.deque())
--- a/src/lentildeal/_internal/network/target_connections.py
+++ b/src/lentildeal/_internal/network/target_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 from lentildeal._internal import exceptions
 from lentildeal._internal.models import ids
 from lentildeal._internal.network import client_connections
@@ -30,6 +32,7 @@
         *,
         read_timeout_s: float,
         is_repeatable: bool,
+        request_id: typing.Optional[str] = None,
     ) -> client_connections.Response:
         """Sends a request and waits for the response headers.
 
@@ -47,6 +50,7 @@
             read_timeout_s: Time for the response headers and longest wait for
                 each read of the body, in seconds.
             is_repeatable: Whether the request may run more than once.
+            request_id: Identifier in the headers that the response repeats.
 
         Raises:
             exceptions.NotRunError: No byte was sent.
@@ -55,8 +59,12 @@
             exceptions.MayHaveRunError: Bytes were sent, but no response
                 headers arrived.
         """
-        request = client_connections.Request(method, target, headers, body)
-        idle = self._idle.pop(address) if is_repeatable else None
+        request = client_connections.Request(
+            method, target, headers, body, request_id
+        )
+        idle = None
+        if is_repeatable:
+            idle = self._idle.pop(address, request_id)
         if idle is not None:
             try:
                 return self._exchange(address, idle, request, read_timeout_s)
