Send each status check on a connection of its own

Status checks before an extra copy have no id, as a replica without models would run a request with one. A copy of their answer, where the next one is expected, could stand for the answer to a later report or order: an order counted as already carried out by the 200 of a check.

Change: a status check takes a new connection, which is then closed. Checks are as rare as extra copies.

Before: test_copy_of_a_status_check_answers_no_order failed (ALREADY_LOADED in place of FENCED). After: it passes.

--- a/src/lentildeal/_internal/platform/adapter.py
+++ b/src/lentildeal/_internal/platform/adapter.py
@@ -246,16 +246,21 @@
     ) -> http_client.HttpResponse:
         request_id = uuid.uuid4().hex
         headers = {names.EXPECTED_REPLICA: replica.replica_id}
-        # A replica without models would take a request with an id for one of
-        # a client.
+        client = self._client
         if has_id:
             headers[names.REQUEST_ID] = request_id
+        else:
+            # A replica without models would take a request with an id for one
+            # of a client. A copy of an answer without an id could stand for
+            # any later answer on its connection.
+            client = http_client.HttpClient()
+            headers['Connection'] = 'close'
         body = None
         if value is not None:
             body = json.dumps(value).encode()
             headers['Content-Type'] = 'application/json'
         try:
-            response = self._client.request(
+            response = client.request(
                 method,
                 f'http://{replica.address}{path}',
                 timeout_s=CONTROL_TIMEOUT_S,
@@ -271,7 +276,7 @@
         answered_id = response.headers.get(names.REQUEST_ID.lower())
         if answered_id not in (None, request_id):
             # A late copy of an earlier answer; its connection has more.
-            self._client.close_idle()
+            client.close_idle()
             raise exceptions.PlatformError(
                 f'{replica.replica_id} answered another request to {path}'
             )
--- a/tests/functional/test_repeated_answers.py
+++ b/tests/functional/test_repeated_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from lentildeal._internal.adapters import platform_base
 from lentildeal._internal.jobs import attempts
 from lentildeal._internal.models import jobs
 from lentildeal._internal.network import client_connections
@@ -167,6 +168,31 @@
     assert found == [500, 500, 200]
 
 
+def test_copy_of_a_status_check_answers_no_order():
+    """Guards against an order that counts as carried out by a status check.
+
+    Status checks have no id, so that their copies could stand for anything.
+    """
+
+    def make_answer(path, request_id):
+        if path == '/order':
+            return copying_server.make_answer('412 No', request_id)
+        return copying_server.make_answer('200 OK', '').replace(
+            b'Lentildeal-Request-Id: \r\n',
+            b'Lentildeal-Replica-Load: 1,0,4\r\n',
+        )
+
+    server = copying_server.CopyingServer(make_answer)
+    platform = make_platform()
+    order = platform_base.VersionOrder('m', 2, True, 'n0', 1, 0)
+    with contextlib.closing(server):
+        replica = job_builders.make_replica(address=server.address)
+        platform.get_load(replica, '/health')
+        platform.get_load(replica, '/health')
+        outcome = platform.order_version(replica, order)
+    assert outcome is platform_base.OrderOutcome.FENCED
+
+
 class Connection:
     """An open connection that has carried some requests."""
 
