Resign a claim that was on its way when a planned stop began

A leaving daemon resigned from the leases that it held. A claim whose append was still on its way took effect after that, with or without an answer, and the daemon held the lease until its process ended; others then waited for it to expire.

Change: while it leaves, each check resigns from what the log shows it to hold.

Before: both cases of test_claim_on_its_way_at_a_planned_stop_is_resigned failed. After: both pass.

--- a/src/lentildeal/_internal/jobs/lease_manager.py
+++ b/src/lentildeal/_internal/jobs/lease_manager.py
@@ -201,7 +201,9 @@
             if self._directory.is_loaded and self._log.is_caught_up:
                 self._drop_lost()
                 self._renew()
-                if not self._is_leaving:
+                if self._is_leaving:
+                    self._resign_late_claims()
+                else:
                     self._claim_vacant()
                 self._update_read_demand()
                 _held.set(len(self._leases))
@@ -338,6 +340,16 @@
             )
             self._renewed_s = 0.0
 
+    def _resign_late_claims(self) -> None:
+        """Resigns from leases whose claim was on its way at the resignation.
+
+        Others would wait until the lease expires.
+        """
+        for lease_name, group in self._iter_wanted_leases():
+            self._recover_claim(lease_name, group)
+        for lease_name in list(self._leases):
+            self.resign(lease_name, 'leaving')
+
     def _is_vacant(self, lease_name: ids.LeaseName) -> bool:
         state = self._log.leases.get(lease_name)
         if state.holder == self._instance and not self._is_holder(lease_name):
--- a/tests/unit/jobs/test_lease_manager.py
+++ b/tests/unit/jobs/test_lease_manager.py
@@ -318,3 +318,31 @@
     log.table.apply(job_builders.make_accepted(model='gone'))
     run([make_manager(log, 'a')], CLAIMS_S)
     assert log.leases.get(lease_manager.jobs_lease_name('gone')).holder == 'a'
+
+
+@pytest.mark.parametrize('is_answered', [True, False])
+def test_claim_on_its_way_at_a_planned_stop_is_resigned(log, is_answered):
+    """Guards against a lease that a leaving daemon holds until it ends."""
+    manager = make_manager(log, 'n0')
+    append = log.append
+    claimed = []
+
+    def append_late(batch, timeout_s=None):
+        claimed.extend(r.lease_name for r in batch[1:])
+        eventlet.sleep(0.1)
+        append(batch)
+        if not is_answered:
+            raise exceptions.LogAnswerLostError('no answer')
+
+    log.append = append_late
+    log.enqueue = lambda record: append([record])
+    manager.start()
+    while not claimed:
+        eventlet.sleep(0.01)
+    manager.resign_all()
+    eventlet.sleep(0.1 + 3 * lease_manager.CHECK_INTERVAL_S)
+    for lease_name in claimed:
+        state = log.leases.get(lease_name)
+        assert state.resigned_holder == 'n0'
+        assert state.holder is None
+        assert manager.find_term(lease_name) is None
