Pass the target of a request on as it was sent

"/x?" reached a replica as "/x", and "//x/y" as "/x/y": the target was put together from the parsed path and query, and the parser of the standard library joins slashes at the start.

Change: the target is taken from the request line.

--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -27,6 +27,8 @@
 HOLDER_KEY = 'lentildeal.holder'
 # Key of the function that closes the connection after the response.
 CLOSE_KEY = 'lentildeal.close_connection'
+# Key of the path and query as the client sent them.
+TARGET_KEY = 'lentildeal.target'
 # Key of the function that guards a body of unknown length.
 GUARD_KEY = 'lentildeal.guard_stream'
 HEAD_END = b'\r\n\r\n'
@@ -235,9 +237,12 @@
         """Writes nothing; the base class writes a line for each bad head."""
 
     def get_environ(self) -> dict:
-        """Also passes a function that closes the connection."""
+        """Also passes what only this object knows of the request."""
         return {
             **super().get_environ(),
+            # The base class joins slashes at the start of ``path``, and the
+            # query alone doesn't show whether there was a question mark.
+            TARGET_KEY: self.requestline.split(' ')[1],
             CLOSE_KEY: self._close_after_response,
             GUARD_KEY: self._guard_stream,
             HOLDER_KEY: self._holder,
--- a/src/lentildeal/_internal/network/http_server.py
+++ b/src/lentildeal/_internal/network/http_server.py
@@ -438,7 +438,7 @@
             headers=headers,
             body=body,
             socket=environ['eventlet.input'].get_socket(),
-            target=_read_target(environ),
+            target=environ[http_protocol.TARGET_KEY],
             raw_headers=environ['headers_raw'],
             reserve=self._make_reserve(environ),
         )
@@ -451,9 +451,3 @@
         return functools.partial(
             self.budget.reserve, environ[http_protocol.HOLDER_KEY]
         )
-
-
-def _read_target(environ) -> str:
-    query = environ.get('QUERY_STRING')
-    path = environ['RAW_PATH_INFO']
-    return f'{path}?{query}' if query else path
--- a/tests/functional/test_http_server.py
+++ b/tests/functional/test_http_server.py
@@ -132,3 +132,20 @@
     assert response.readline() == b'first\n'
     is_read.send()
     assert response.read() == b'second\n'
+
+
+@pytest.mark.parametrize(
+    'target', ['/x?', '/x', '//x/y', '///x//y?', '/x?a=/b?c', '/%2fx/%3f']
+)
+def test_target_is_passed_on_as_it_was_sent(port, router, target):
+    """Guards against a request that runs with another path or query."""
+    seen = []
+
+    def handle(request):
+        seen.append(request.target)
+        return http_server.json_response(None)
+
+    router.add('*', '/{path*}', handle)
+    head = f'GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n'
+    assert exchange(port, head.encode()).startswith(b'HTTP/1.1 200 ')
+    assert seen == [target]
