Ignore a hangup while the modules of a daemon load

SIGHUP within about the first half second ended the process: its handler was set after the modules had been loaded and the settings read. A change of the settings just after a restart so cost another restart.

Change: the signal is ignored before the first import that takes time. The settings are read later, so nothing is missed. What remains is the start of the interpreter itself.

Before: test_hangup_signal_ends_no_daemon_that_loads_its_modules failed. After: it passes.

--- a/src/lentildeal/_internal/kernel/main.py
+++ b/src/lentildeal/_internal/kernel/main.py
@@ -1,7 +1,12 @@
 """Entry point of the daemon ``lentildeald``."""
 
+import signal
 import warnings
 
+# The default action would end the process while it loads its modules. The
+# settings are read after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # Each line of standard error must be a JSON object; the deprecation warning
 # that eventlet prints on import is not.
 warnings.filterwarnings('ignore', r'\s*Eventlet is deprecated')
@@ -13,7 +18,6 @@
 
 import argparse  # noqa: E402
 import pathlib  # noqa: E402
-import signal  # noqa: E402
 import sys  # noqa: E402
 
 from loguru import logger  # noqa: E402
--- a/tests/functional/test_platform.py
+++ b/tests/functional/test_platform.py
@@ -3,7 +3,10 @@
 import concurrent.futures
 import contextlib
 import http.client
+import os
 import signal
+import subprocess
+import sys
 import time
 
 import pytest
@@ -377,6 +380,28 @@
     assert len(other.read_journal()['runs']) >= len(items)
 
 
+def test_hangup_signal_ends_no_daemon_that_loads_its_modules():
+    """Guards against a daemon that a change of its settings ends at start."""
+    code = """
+import os, signal, sys
+class Finder:
+    def find_spec(self, name, *_):
+        if name == 'eventlet':
+            os.kill(os.getpid(), signal.SIGHUP)
+            print('alive', flush=True)
+            os._exit(0)
+sys.meta_path.insert(0, Finder())
+import lentildeal._internal.kernel.main
+"""
+    found = subprocess.run(
+        [sys.executable, '-c', code],
+        env={**os.environ, 'PYTHONPATH': str(processes.ROOT / 'src')},
+        capture_output=True,
+        check=False,
+    )
+    assert (found.returncode, found.stdout) == (0, b'alive\n')
+
+
 def test_hangup_signal_reloads_the_settings(launcher):
     """Guards against a daemon that exits when its settings change."""
     world = platform_world.World(launcher, daemons=1)
