Reject offsets of the store that are no place in a stream

A negative offset in the answer to an append is how a record says that a result has no text, so the item was listed as done with an empty text, or given up.

Change: an offset is not negative; an append that is answered with another one may have taken effect, as one without an offset, and is repeated.

Before: test_append_without_a_place_may_have_effect[-3] and test_negative_end_of_a_stream_is_an_error failed. After: both pass.

--- a/src/lentildeal/_internal/platform/store.py
+++ b/src/lentildeal/_internal/platform/store.py
@@ -72,7 +72,7 @@
             raise exceptions.LogAnswerLostError(error.message) from error
         if response.status == 200:
             try:
-                return ids.Offset(_read_number(response.read_json(), 'Offset'))
+                return _read_offset(response.read_json(), 'Offset')
             except exceptions.PlatformError as error:
                 raise exceptions.LogAnswerLostError(
                     f'the store confirmed an append without a valid'
@@ -103,7 +103,7 @@
         if response.status == 410:
             raise exceptions.LogTrimmedError(
                 f'the store has dropped records of {stream} at this offset',
-                _read_number(response.read_json(), 'First'),
+                _read_offset(response.read_json(), 'First'),
             )
         if response.status == 404:
             # A stream exists only once it has a record.
@@ -214,7 +214,7 @@
         entries = document['Entries']
         return _NewestPage(
             list(_iter_entries(entries, stream)),
-            decimals.require_int(document['End']),
+            _require_offset(document['End']),
             bool(document['HasMore'] and entries),
             entries[-1]['Key'] if entries else '',
         )
@@ -244,15 +244,28 @@
             yield platform_base.KeyedRecord(key, value or None)
 
 
-def _read_number(document: typing.Any, name: str) -> int:
+def _read_offset(document: typing.Any, name: str) -> ids.Offset:
     try:
-        return decimals.require_int(document[name])
+        return _require_offset(document[name])
     except documents.DECODE_ERRORS as error:
         raise exceptions.LogUnavailableError(
             f'the store sent an answer without {name}: {error!r:.200}'
         ) from error
 
 
+def _require_offset(value: typing.Any) -> ids.Offset:
+    """Returns a position in a stream.
+
+    Raises:
+        TypeError: It is not an integer.
+        ValueError: It is negative or too large.
+    """
+    offset = decimals.require_int(value)
+    if offset < 0:
+        raise ValueError(f'the offset {offset} is negative')
+    return ids.Offset(offset)
+
+
 def _decode_page(body: bytes, start: ids.Offset) -> platform_base.StorePage:
     try:
         end, oldest = PAGE_HEADER.unpack_from(body)
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -122,3 +122,19 @@
 def test_record_without_a_key_is_unreadable(body):
     with pytest.raises(exceptions.UnreadableRecordError):
         make_store().decode_keyed(body)
+
+
+@pytest.mark.parametrize(
+    'body', [b'{"Offset": -3}', b'{"Offset": 1.0}', b'{"Offset": true}', b'{}']
+)
+def test_append_without_a_place_may_have_effect(body):
+    """Guards against results that point to a text at no place."""
+    with pytest.raises(exceptions.LogAnswerLostError):
+        make_store(make_response(200, body)).append('s', [b'ab'])
+
+
+def test_negative_end_of_a_stream_is_an_error():
+    # Guards against a stream that is read again from its start.
+    body = b'{"Entries": [], "HasMore": false, "End": -1}'
+    with pytest.raises(exceptions.LogUnavailableError):
+        make_store(make_response(200, body)).read_newest('s')
