Check that a text read back belongs to its item

A result names the place of its text, and whatever text was found there was listed, or resumed from, as that of the item. A wrong place in an answer of the store so mixed the texts of two items.

Change: texts carry the id of their item as an appended field, which older releases ignore. A text of another item counts as one that can't be read. Texts of older releases name no item and are taken as before.

Before: the first case of test_text_of_another_item_is_not_listed could not be stated, as a text had no id; with the check removed it fails. After: it passes.

--- a/src/lentildeal/_internal/jobs/append_queue.py
+++ b/src/lentildeal/_internal/jobs/append_queue.py
@@ -54,12 +54,12 @@
 
     Attributes:
         record: The record.
-        events: Events of its text if it has one that is not stored yet.
+        text: Its text if it has one that is not stored yet.
         delays: Batches in which it waited for the records before it.
     """
 
     record: records.Record
-    events: typing.Optional[tuple[str, ...]]
+    text: typing.Optional[records.EventTexts]
     delays: int = 0
 
     @property
@@ -88,10 +88,10 @@
     def put(
         self,
         record: records.Record,
-        text_events: typing.Optional[tuple[str, ...]],
+        text: typing.Optional[records.EventTexts],
     ) -> None:
         """Adds a record, and its text, whose location is set when stored."""
-        self._queue.append(_QueuedRecord(record, text_events))
+        self._queue.append(_QueuedRecord(record, text))
         self._queued.set()
 
     def add_piggyback_source(self, source: PiggybackSource) -> None:
@@ -119,9 +119,10 @@
         size_bytes = 0
         while self._queue:
             queued = self._queue[0]
-            # A character takes up to four bytes in UTF-8.
-            text_bytes = 4 * sum(map(len, queued.events or ()))
-            size_bytes += RECORD_OVERHEAD_BYTES + text_bytes
+            size_bytes += RECORD_OVERHEAD_BYTES
+            if queued.text is not None:
+                # A character takes up to four bytes in UTF-8.
+                size_bytes += 4 * sum(map(len, queued.text.events))
             if batch and size_bytes > self._batch_bytes:
                 break
             batch.append(self._queue.popleft())
@@ -187,7 +188,7 @@
         batch = self._store_texts(batch)
         ready, remaining = [], []
         for queued in batch:
-            if queued.events is not None:
+            if queued.text is not None:
                 remaining.append(queued)
             elif remaining and queued.must_wait:
                 remaining.append(queued._replace(delays=queued.delays + 1))
@@ -219,7 +220,7 @@
         """
         by_stream: dict[str, list[int]] = {}
         for number, queued in enumerate(batch):
-            if queued.events is not None:
+            if queued.text is not None:
                 stream = records.text_stream_name(queued.record.job_id)
                 by_stream.setdefault(stream, []).append(number)
         found = list(batch)
@@ -234,7 +235,7 @@
     def _store_stream(
         self, stream: str, batch: list[_QueuedRecord], numbers: list[int]
     ) -> None:
-        texts = [records.EventTexts(batch[n].events) for n in numbers]
+        texts = [batch[n].text for n in numbers]
         try:
             locations = self._log.append_texts(stream, texts)
         except exceptions.PlatformError as error:
@@ -254,8 +255,8 @@
     """Returns the error of encoding a record or its text, None without one."""
     try:
         records.encode(queued.record)
-        if queued.events is not None:
-            records.encode(records.EventTexts(queued.events))
+        if queued.text is not None:
+            records.encode(queued.text)
     except Exception as error:
         return error
     return None
--- a/src/lentildeal/_internal/jobs/loading.py
+++ b/src/lentildeal/_internal/jobs/loading.py
@@ -121,16 +121,34 @@
     return LostItem(index, entry.item_ids[index], reason)
 
 
+class TextPlace(typing.NamedTuple):
+    """Where the text of an item is.
+
+    Attributes:
+        item_id: The item.
+        location: Location of its text.
+    """
+
+    item_id: ids.ItemId
+    location: records.RecordLocation
+
+
 def load_events(
-    work_log: work_log_module.WorkLog, location: records.RecordLocation
+    work_log: work_log_module.WorkLog, place: TextPlace
 ) -> typing.Optional[records.EventTexts]:
     """Loads the text of an item, None if it can't be read any more.
 
     Raises:
         exceptions.PlatformError: The log did not respond.
     """
+    location = place.location
     try:
-        return _load_payload(work_log, location, records.EventTexts)
+        text = _load_payload(work_log, location, records.EventTexts)
+        if not text.is_text_of(place.item_id):
+            raise exceptions.UnreadableRecordError(
+                f'text {location.offset} is of item {text.item_id!r:.50}'
+            )
+        return text
     except LOST_ERRORS as error:
         events.emit(
             'record_ignored',
@@ -142,8 +160,7 @@
 
 
 def load_all_events(
-    work_log: work_log_module.WorkLog,
-    locations: typing.Sequence[records.RecordLocation],
+    work_log: work_log_module.WorkLog, places: typing.Sequence[TextPlace]
 ) -> list[typing.Optional[records.EventTexts]]:
     """Loads texts, None in place of those that can't be read any more.
 
@@ -151,12 +168,15 @@
         exceptions.PlatformError: The log did not respond.
     """
     try:
-        found = work_log.read_texts(locations)
+        found = work_log.read_texts([place.location for place in places])
     except LOST_ERRORS:
-        found = [None]
-    if all(isinstance(text, records.EventTexts) for text in found):
+        found = []
+    if len(found) == len(places) and all(
+        isinstance(text, records.EventTexts) and text.is_text_of(place.item_id)
+        for text, place in zip(found, places, strict=True)
+    ):
         return found
-    return [load_events(work_log, location) for location in locations]
+    return [load_events(work_log, place) for place in places]
 
 
 def _load_parts(
@@ -248,7 +268,7 @@
         is_resubmitted=is_resubmitted,
     )
     if saved is not None:
-        progress = _load_progress(work_log, saved)
+        progress = _load_progress(work_log, item.item_id, saved)
         route = text.find_route(entry.head.host, item.path)
         is_single = route is not None and route.is_single_version
         if task.is_valid(progress, is_single):
@@ -259,9 +279,11 @@
 
 
 def _load_progress(
-    work_log: work_log_module.WorkLog, saved: table.SavedProgress
+    work_log: work_log_module.WorkLog,
+    item_id: ids.ItemId,
+    saved: table.SavedProgress,
 ) -> jobs.Progress:
-    text = load_events(work_log, saved.location)
+    text = load_events(work_log, TextPlace(item_id, saved.location))
     if text is None:
         # The item starts again.
         return jobs.Progress()
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -405,9 +405,13 @@
 
     def _make_page(self, entry: table.JobEntry, after: int) -> JobPage:
         listed = _select_page(entry.results[after:])
-        locations = [r.location for r in listed if r.location is not None]
+        places = [
+            loading.TextPlace(entry.item_ids[r.index], r.location)
+            for r in listed
+            if r.location is not None
+        ]
         try:
-            texts = iter(loading.load_all_events(self._log, locations))
+            texts = iter(loading.load_all_events(self._log, places))
         except exceptions.PlatformError as error:
             raise _make_unavailable_error(error) from error
         found = tuple(
--- a/src/lentildeal/_internal/jobs/recording.py
+++ b/src/lentildeal/_internal/jobs/recording.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import prometheus_client
 
 from lentildeal._internal.jobs import loading
@@ -51,7 +53,7 @@
             progress.versions,
             score=score,
         )
-        self._log.enqueue(record, progress.events or None)
+        self._log.enqueue(record, _make_text(task, progress))
         # Not before: an item without a result in the queue still has to run.
         task.is_done = True
         elapsed_s = clock.monotonic_s() - task.created_s
@@ -119,7 +121,7 @@
             progress.last_event_id,
             is_complete=is_complete,
         )
-        self._log.enqueue(record, progress.events)
+        self._log.enqueue(record, _make_text(task, progress))
 
     def _emit_too_large(
         self, task: tasks.ItemTask, progress: jobs.Progress
@@ -135,3 +137,12 @@
             job=task.entry.head.job_id,
             characters=sum(map(len, progress.events)),
         )
+
+
+def _make_text(
+    task: tasks.ItemTask, progress: jobs.Progress
+) -> typing.Optional[records.EventTexts]:
+    """Makes the text of an item, None if it has no events."""
+    if not progress.events:
+        return None
+    return records.EventTexts(progress.events, task.item.item_id)
--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -377,15 +377,25 @@
 @register_record(17)
 @dataclasses.dataclass(frozen=True)
 class EventTexts:
-    """Data of the events of an item, in order."""
+    """Data of the events of an item, in order.
+
+    Attributes:
+        events: The data of each event.
+        item_id: The item, empty in records of older releases.
+    """
 
     events: tuple[str, ...]
+    item_id: str = ''
 
     @property
     def text(self) -> str:
         """Data of all events, separated by line feeds."""
         return '\n'.join(self.events)
 
+    def is_text_of(self, item_id: ids.ItemId) -> bool:
+        """Whether this can be the text of an item."""
+        return self.item_id in ('', item_id)
+
 
 # Records of calls to the platform that one daemon at a time makes.
 @register_record(18)
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -310,7 +310,8 @@
             jobs.Progress(versions=versions), self._is_single(task)
         ):
             return
-        text = loading.load_events(self._log, location)
+        place = loading.TextPlace(task.item.item_id, location)
+        text = loading.load_events(self._log, place)
         if text is not None:
             task.progress = jobs.Progress(text.events, versions=versions)
             self._handle_complete(task)
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -220,7 +220,7 @@
     def enqueue(
         self,
         record: records.Record,
-        text_events: typing.Optional[tuple[str, ...]] = None,
+        text: typing.Optional[records.EventTexts] = None,
     ) -> None:
         """Queues a record and retries its append until it succeeds.
 
@@ -228,10 +228,9 @@
 
         Args:
             record: Record of the work log.
-            text_events: Events of the text whose location is set in the
-                record, None without a text.
+            text: Text whose location is set in the record, None without one.
         """
-        self._queue.put(record, text_events)
+        self._queue.put(record, text)
 
     def add_piggyback_source(
         self, source: append_queue.PiggybackSource
--- a/tests/unit/jobs/test_failing_items.py
+++ b/tests/unit/jobs/test_failing_items.py
@@ -151,9 +151,18 @@
 def test_record_that_can_not_be_encoded_costs_itself_alone(log):
     # Guards against results of all items that are lost with a batch.
     entry = submit(log, 'job', ('i0', 'i1', 'i2'))
-    log.enqueue(records.ItemResult('job', 0, 'done', (1,)), ('one',))
-    log.enqueue(records.ItemResult('job', 1, 'done', (2**70,)), ('two',))
-    log.enqueue(records.ItemResult('job', 2, 'done', (1,)), ('three',))
+    log.enqueue(
+        records.ItemResult('job', 0, 'done', (1,)),
+        records.EventTexts(('one',)),
+    )
+    log.enqueue(
+        records.ItemResult('job', 1, 'done', (2**70,)),
+        records.EventTexts(('two',)),
+    )
+    log.enqueue(
+        records.ItemResult('job', 2, 'done', (1,)),
+        records.EventTexts(('three',)),
+    )
     store_kernel.wait_for(lambda: len(entry.results) == 3)
     states = {r.index: r.state.value for r in entry.results}
     assert states == {0: 'done', 1: 'given_up', 2: 'done'}
@@ -171,7 +180,13 @@
         return original(batch, timeout_s)
 
     monkeypatch.setattr(log, 'append', fail_twice)
-    log.enqueue(records.ItemResult('job', 0, 'done', (1,)), ('one',))
-    log.enqueue(records.ItemResult('job', 1, 'done', (1,)), ('two',))
+    log.enqueue(
+        records.ItemResult('job', 0, 'done', (1,)),
+        records.EventTexts(('one',)),
+    )
+    log.enqueue(
+        records.ItemResult('job', 1, 'done', (1,)),
+        records.EventTexts(('two',)),
+    )
     store_kernel.wait_for(lambda: len(entry.results) == 2)
     assert {r.state.value for r in entry.results} == {'done'}
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -228,7 +228,10 @@
             )
         ]
     )
-    log.enqueue(records.ItemResult('job', 1, 'done', (1,)), ('text',))
+    log.enqueue(
+        records.ItemResult('job', 1, 'done', (1,)),
+        records.EventTexts(('text',)),
+    )
     store_kernel.wait_for(lambda: len(entry.results) == 2)
     log.clear_text_cache()
     return entry
@@ -243,6 +246,35 @@
     assert found == [('i0', 'given_up', ''), ('i1', 'done', 'text')]
 
 
+@pytest.mark.parametrize('item_id, state', [('i1', 'given_up'), ('', 'done')])
+def test_text_of_another_item_is_not_listed(
+    kernel, log, store, item_id, state
+):
+    """Guards against a result with a text that the store gave by mistake.
+
+    Texts of older releases name no item.
+    """
+    (part,) = log.append_texts(STREAM, [make_part(*ITEM_IDS)])
+    entry = submit(log, part, part)
+    texts = [
+        records.EventTexts(('other',), item_id),
+        records.EventTexts(('own',), 'i1'),
+    ]
+    places = log.append_texts(STREAM, texts)
+    log.append(
+        [
+            records.ItemResult('job', n, 'done', (1,), p.offset, p.size_bytes)
+            for n, p in enumerate(places)
+        ]
+    )
+    store_kernel.wait_for(lambda: len(entry.results) == 2)
+    log.clear_text_cache()
+    page = plugin.Jobs(kernel).read('job', 0, 0.0)
+    text = 'other' if state == 'done' else ''
+    found = [(r.item_id, r.state.value, r.text) for r in page.results]
+    assert found == [('i0', state, text), ('i1', 'done', 'own')]
+
+
 def test_lost_body_is_not_found(kernel, log, store):
     # Guards against a caller that is told to come back for a lost body.
     (one,) = log.append_texts(STREAM, [make_part('i0', 'i1')])
--- a/tests/unit/jobs/test_runner.py
+++ b/tests/unit/jobs/test_runner.py
@@ -54,7 +54,10 @@
     monkeypatch.setattr(runner_module, 'OPEN_RETRY_S', 0.01)
     submit(log, 'old', ('i0', 'i1'))
     store_kernel.wait_for(lambda: log.table.get('old'))
-    log.enqueue(records.ItemResult('old', 0, 'done', (1,)), ('text',))
+    log.enqueue(
+        records.ItemResult('old', 0, 'done', (1,)),
+        records.EventTexts(('text',)),
+    )
     log.enqueue(records.JobEnd('old'))
     store_kernel.wait_for(lambda: log.table.get('old').is_ended)
     log.clear_text_cache()
--- a/tests/unit/jobs/test_work_log.py
+++ b/tests/unit/jobs/test_work_log.py
@@ -35,7 +35,10 @@
 
 
 def list_result(log, index=0, events=('one', 'two')):
-    log.enqueue(records.ItemResult('job', index, 'done', (1,)), events)
+    log.enqueue(
+        records.ItemResult('job', index, 'done', (1,)),
+        records.EventTexts(events),
+    )
 
 
 @pytest.mark.parametrize('fault', list(Fault))
@@ -89,7 +92,10 @@
     store_kernel.wait_for(lambda: all(map(log.table.get, streams.values())))
     store.failing_stream = next(iter(streams))
     for job_id in streams.values():
-        log.enqueue(records.ItemResult(job_id, 0, 'done', (1,)), ('text',))
+        log.enqueue(
+            records.ItemResult(job_id, 0, 'done', (1,)),
+            records.EventTexts(('text',)),
+        )
     sound = list(streams.values())[1:]
     store_kernel.wait_for(lambda: all(log.table.get(j).results for j in sound))
     assert not log.table.get(streams[store.failing_stream]).results
@@ -107,7 +113,10 @@
 def leave_with_a_checkpoint(log):
     log.append([job_builders.make_accepted()])
     store_kernel.wait_for(lambda: entry_of(log))
-    log.enqueue(records.Checkpoint('job', 0, (1,), 2, '1'), ('one', 'two'))
+    log.enqueue(
+        records.Checkpoint('job', 0, (1,), 2, '1'),
+        records.EventTexts(('one', 'two')),
+    )
     log.enqueue(records.Resignation('jobs/m', 7))
 
 
