Bound the stream of a stand-alone engine

An engine of the stand-alone system that sends sound events without end was read until the deadline of its request, and the worker kept the text. Items of the platform stop at 2 MiB.

Change: a stream may have 64 KiB and 1 KiB for each token that was asked for.

Before: test_stream_of_sound_events_without_end_is_cut read for the 5 s of its limit. After: it passes.

--- a/src/lentildeal/_internal/adapters/http_engine.py
+++ b/src/lentildeal/_internal/adapters/http_engine.py
@@ -14,6 +14,10 @@
 from lentildeal._internal.utils import clock
 
 CONTROL_TIMEOUT_S = 2.0
+# Bytes of a stream without its tokens, and of each token. An event of one
+# token has 50 to 200 bytes.
+STREAM_OVERHEAD_BYTES = 64 * 1024
+MAX_TOKEN_BYTES = 1024
 
 
 @base.engines.register('http')
@@ -50,7 +54,10 @@
                 status=response.status,
                 body=response.read(),
             )
-        yield from _iter_chunks(response, timeout_s, batch_s)
+        limit_bytes = (
+            STREAM_OVERHEAD_BYTES + MAX_TOKEN_BYTES * request.max_tokens
+        )
+        yield from _iter_chunks(response, timeout_s, batch_s, limit_bytes)
 
     def cancel(self, request_id: ids.RequestId) -> None:
         """See the base class."""
@@ -120,14 +127,23 @@
 
 
 def _iter_chunks(
-    response: http_client.StreamingResponse, timeout_s: float, batch_s: float
+    response: http_client.StreamingResponse,
+    timeout_s: float,
+    batch_s: float,
+    limit_bytes: int,
 ) -> typing.Iterator[base.TokenChunk]:
     """Yields one chunk for each batch and version until the end marker."""
     parser = sse.EventParser()
+    size_bytes = 0
     deadline = clock.Deadline(timeout_s)
     batches = response.iter_batches(batch_s)
     try:
         for batch in batches:
+            size_bytes += len(batch)
+            if size_bytes > limit_bytes:
+                raise exceptions.TruncatedAnswerError(
+                    f'the stream is longer than {limit_bytes} bytes'
+                )
             events = parser.feed(batch)
             is_done = sse.END_MARKER in events
             yield from _merge(event for event in events if event[0] == '{')
