Log why results or a body of a job were not given

Change: job_read_failed names the job, what was asked, the reason and the time of a read that is answered with 404 or 503.

--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import typing
 
@@ -179,13 +180,14 @@
             exceptions.NotFoundError: There is no such job.
             exceptions.NotRunError: The store does not respond.
         """
-        entry = self._find_job(job_id, may_see)
-        with self._log.read_demand.hold():
-            self._wait_for_result(entry, after, clock.Deadline(wait_s))
-        if entry.head.item_count > len(entry.results) <= after:
-            # Another daemon may have read further in the log than this one.
-            self._sync()
-        return self._make_page(entry, after)
+        with _report_failure(job_id, after):
+            entry = self._find_job(job_id, may_see)
+            with self._log.read_demand.hold():
+                self._wait_for_result(entry, after, clock.Deadline(wait_s))
+            if entry.head.item_count > len(entry.results) <= after:
+                # Another daemon may have read further in the log.
+                self._sync()
+            return self._make_page(entry, after)
 
     def _wait_for_result(
         self, entry: table.JobEntry, after: int, deadline: clock.Deadline
@@ -208,18 +210,19 @@
                 longer has the body.
             exceptions.NotRunError: The store does not respond.
         """
-        entry = self._find_job(job_id, may_see)
-        index = entry.find_index(item_id)
-        if index is None:
-            return None
-        try:
-            return loading.load_item(self._log, entry, index).body
-        except loading.LOST_ERRORS as error:
-            raise exceptions.NotFoundError(
-                f'item {item_id} can not be read any more: {error.message}'
-            ) from error
-        except exceptions.PlatformError as error:
-            raise _make_unavailable_error(error) from error
+        with _report_failure(job_id, item_id):
+            entry = self._find_job(job_id, may_see)
+            index = entry.find_index(item_id)
+            if index is None:
+                return None
+            try:
+                return loading.load_item(self._log, entry, index).body
+            except loading.LOST_ERRORS as error:
+                raise exceptions.NotFoundError(
+                    f'item {item_id} can not be read any more: {error.message}'
+                ) from error
+            except exceptions.PlatformError as error:
+                raise _make_unavailable_error(error) from error
 
     def end(self, job_id: ids.JobId, may_see: JobFilter = is_known) -> None:
         """Ends a job and returns once the end is in the log.
@@ -423,6 +426,25 @@
         return JobPage(entry.head.item_count, after + len(found), found)
 
 
+@contextlib.contextmanager
+def _report_failure(
+    job_id: ids.JobId, asked: typing.Union[int, ids.ItemId]
+) -> typing.Iterator[None]:
+    """Logs why a read of a job got no answer."""
+    started_s = clock.monotonic_s()
+    try:
+        yield
+    except exceptions.LentildealError as error:
+        events.emit(
+            'job_read_failed',
+            job=job_id,
+            asked=asked,
+            reason=error.message,
+            elapsed_ms=_elapsed_ms(started_s),
+        )
+        raise
+
+
 def _make_accepted(
     job: jobs.Job,
     parts: list[tuple[int, records.JobPart]],
--- a/src/lentildeal/_internal/logs/events.py
+++ b/src/lentildeal/_internal/logs/events.py
@@ -409,6 +409,14 @@
     reason='Why it was refused.',
     elapsed_ms='Time since the request was read, in milliseconds.',
 )
+define(
+    'job_read_failed',
+    'Results or a body of a job were not given.',
+    job='Job id.',
+    asked='Position of the first result, or the item id.',
+    reason='Why they were not given.',
+    elapsed_ms='Time since the request was read, in milliseconds.',
+)
 define(
     'job_ended',
     'A trainer ended a job.',
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -289,6 +289,30 @@
         found.read_body('job', 'i0')
 
 
+def test_read_that_fails_is_logged(kernel, log, store, monkeypatch):
+    # Guards against a job that can't be read for a reason that nobody sees.
+    found = []
+    monkeypatch.setattr(
+        plugin.events,
+        'emit',
+        lambda name, **fields: found.append((name, fields)),
+    )
+    list_two_results(log, store)
+    jobs_plugin = plugin.Jobs(kernel)
+    found.clear()
+    store.failing_text_reads = 9
+    with pytest.raises(exceptions.NotRunError):
+        jobs_plugin.read('job', 0, 0.0)
+    with pytest.raises(exceptions.NotFoundError):
+        jobs_plugin.read('other', 0, 0.0)
+    names = [
+        (fields['job'], fields['asked'])
+        for name, fields in found
+        if name == 'job_read_failed'
+    ]
+    assert names == [('job', 0), ('other', 0)]
+
+
 def test_job_with_a_lost_text_is_renewed(log, store, monkeypatch):
     # Guards against a job that expires as one of its texts can't be renewed.
     entry = list_two_results(log, store)
