Take a refusal for one although its body breaks

A replica that refuses a call says in the head that it has not run it. When the body of that answer was cut or reset, the call counted as one that may have run: the caller of a route that may run once got 504 in place of the answer of another replica.

Change: the body of a refusal only explains it; the connection is closed if it breaks. The same for items.

Before: the 4 cases of test_refusal_with_a_broken_body_is_a_refusal failed. After: they pass.

--- a/src/lentildeal/_internal/gateway/plugin.py
+++ b/src/lentildeal/_internal/gateway/plugin.py
@@ -422,7 +422,7 @@
             self._directory.mark_leaving(replica)
         if info.is_not_run and not is_foreign:
             self._limits.record_answer(replica.replica_id, info)
-            response.read()
+            response.read_ignored()
             return calls.AttemptResult(
                 replica, None, True, f'status {response.status}', info.load
             )
--- a/src/lentildeal/_internal/jobs/attempts.py
+++ b/src/lentildeal/_internal/jobs/attempts.py
@@ -187,10 +187,11 @@
                 return AttemptOutcome.BROKEN
             self._version = info.version
             return self._read_events(response)
-        response.read()
         self.reason = f'status {response.status}'
         if info.is_not_run:
+            response.read_ignored()
             return AttemptOutcome.NOT_RUN
+        response.read()
         if response.status == UNPROCESSABLE_STATUS:
             return AttemptOutcome.IMPOSSIBLE
         # Other errors, such as those of an intermediary, say nothing about
--- a/src/lentildeal/_internal/network/client_connections.py
+++ b/src/lentildeal/_internal/network/client_connections.py
@@ -363,6 +363,14 @@
             )
         return body
 
+    def read_ignored(self) -> None:
+        """Reads the rest of a body that does not matter.
+
+        The connection is closed if the body is not complete.
+        """
+        with contextlib.suppress(exceptions.TruncatedAnswerError):
+            self.read()
+
     def iter_chunks(self) -> typing.Iterator[bytes]:
         """Yields the body as it arrives, then releases the connection.
 
--- a/tests/functional/test_resets.py
+++ b/tests/functional/test_resets.py
@@ -179,3 +179,66 @@
             request_id = f'call-{number}'
             assert call(request_id) == 504
             assert bodies.count(request_id.encode()) in runs
+
+
+@pytest.mark.parametrize(
+    'fields, end',
+    [
+        (b'', raw_server.RESET),
+        (b'Content-Length: 9\r\n', raw_server.RESET),
+        (b'Content-Length: 9\r\n', None),
+        (b'Transfer-Encoding: chunked\r\n', None),
+    ],
+)
+def test_refusal_with_a_broken_body_is_a_refusal(fields, end):
+    """Guards against a 504 for a call that a replica has not run.
+
+    The head says so; the body only explains it.
+    """
+    refused = []
+
+    def make_script(request):
+        name, _, request_id = next(
+            line
+            for line in request.split(b'\r\n')
+            if line.lower().startswith(b'lentildeal-request-id:')
+        ).partition(b': ')
+        refused.append(request_id)
+        return (
+            b'HTTP/1.1 503 Full\r\nLentildeal-Not-Executed: 1\r\n'
+            + name
+            + b': '
+            + request_id
+            + b'\r\n'
+            + fields
+            + b'\r\n4\r\nfull',
+            0.02,
+            end,
+        )
+
+    with contextlib.ExitStack() as stack:
+        launcher = stack.enter_context(processes.Launcher())
+        world = platform_world.World(launcher, daemons=1)
+        (daemon,) = world.daemons
+        server = stack.enter_context(
+            contextlib.closing(raw_server.RawServer(make_script))
+        )
+        world.write_replica('p1', 'desk', server.address, {})
+
+        def call(request_id):
+            return daemon.call(
+                'POST',
+                '/once/x',
+                {},
+                Host=platform_world.HOST,
+                Lentildeal_Request_Id=request_id,
+            )[0]
+
+        statuses = []
+
+        def is_refused_often():
+            statuses.append(call(f'call{len(statuses)}'))
+            return len(refused) >= 3
+
+        processes.wait_for(is_refused_often, 'some calls are refused')
+        assert set(statuses) == {200}
