Renew jobs whose results do not fit into one record

A renewal holds the ids and the places of all results, more than twice what the acceptance of the job takes. The largest jobs that were accepted could not be renewed: the store refused the record each time, and the job ended with its records after RetentionS.

Change: the results go into as many records as they need, before the renewal and in the same append. The renewal is then of another type, which older releases ignore: without its results they would run the items again. It has no effect unless all of its results were read.

Before: with the renewal in one record the 4 new tests of test_renewal.py fail (900 items at 16 KiB; 1,024 are rejected with 400). After: they pass.

--- a/src/lentildeal/_internal/jobs/records.py
+++ b/src/lentildeal/_internal/jobs/records.py
@@ -348,6 +348,63 @@
         )
 
 
+@register_record(21)
+@dataclasses.dataclass(frozen=True)
+class RenewedResults:
+    """Some results of a job whose renewal does not fit into one record.
+
+    Attributes:
+        job_id: The job.
+        read_until: See ``JobRenewal``.
+        results: See ``JobRenewal``.
+    """
+
+    job_id: ids.JobId
+    read_until: ids.Offset
+    results: tuple[tuple, ...]
+
+
+@register_record(22)
+@dataclasses.dataclass(frozen=True)
+class LargeJobRenewal:
+    """A renewal whose results are in the records before it in its append.
+
+    It is of another type than ``JobRenewal`` because older releases would
+    take it for the renewal of a job without results.
+
+    Attributes:
+        result_count: Number of results in these records.
+        renewal: Fields of a ``JobRenewal`` without results.
+    """
+
+    result_count: int
+    renewal: tuple
+
+    def join(self, found: typing.Sequence[RenewedResults]) -> JobRenewal:
+        """Makes the whole renewal.
+
+        Args:
+            found: The records before it, in order.
+
+        Raises:
+            exceptions.UnreadableRecordError: They are not its results.
+        """
+        renewal = record_fields.read_fields(JobRenewal, self.renewal)
+        key = renewal.job_id, renewal.read_until
+        results = tuple(
+            fields
+            for part in found
+            if (part.job_id, part.read_until) == key
+            for fields in part.results
+        )
+        if len(results) != self.result_count:
+            raise exceptions.UnreadableRecordError(
+                f'a renewal of job {renewal.job_id} has {len(results)} of'
+                f' {self.result_count} results'
+            )
+        return dataclasses.replace(renewal, results=results)
+
+
 # Records of the text streams.
 @register_record(16)
 @dataclasses.dataclass(frozen=True)
@@ -450,6 +507,8 @@
     JobText,
     ClaimBasis,
     JobRenewal,
+    RenewedResults,
+    LargeJobRenewal,
     UsageCounts,
     DutyCallPlanned,
 ]
@@ -528,6 +587,42 @@
         yield batch
 
 
+def split_renewal(
+    renewal: JobRenewal, record_bytes: int
+) -> list[typing.Union[JobRenewal, RenewedResults, LargeJobRenewal]]:
+    """Splits a renewal into records that have to be in one append.
+
+    Args:
+        renewal: The renewal.
+        record_bytes: Maximum size of a record.
+    """
+    if len(encode(renewal)) <= record_bytes:
+        return [renewal]
+    found: list[typing.Any] = []
+    limit = record_bytes - PART_OVERHEAD_BYTES
+    batch: list[tuple] = []
+    size_bytes = 0
+    for fields in renewal.results:
+        result_bytes = len(msgpack.packb(fields))
+        if batch and size_bytes + result_bytes > limit:
+            found.append(
+                RenewedResults(
+                    renewal.job_id, renewal.read_until, tuple(batch)
+                )
+            )
+            batch, size_bytes = [], 0
+        batch.append(fields)
+        size_bytes += result_bytes
+    found.append(
+        RenewedResults(renewal.job_id, renewal.read_until, tuple(batch))
+    )
+    head = dataclasses.replace(renewal, results=())
+    # Not ``astuple``, which copies each part.
+    fields = tuple(getattr(head, f.name) for f in dataclasses.fields(head))
+    found.append(LargeJobRenewal(len(renewal.results), fields))
+    return found
+
+
 def _encode_item(item: jobs.Item) -> tuple:
     fields = dataclasses.astuple(item)
     # Older releases do not know this field.
--- a/src/lentildeal/_internal/jobs/renewal.py
+++ b/src/lentildeal/_internal/jobs/renewal.py
@@ -19,6 +19,7 @@
 from lentildeal._internal.logs import failures
 from lentildeal._internal.models import ids
 from lentildeal._internal.models import jobs
+from lentildeal._internal.settings import settings as settings_module
 from lentildeal._internal.utils import backoff
 from lentildeal._internal.utils import clock
 
@@ -66,12 +67,10 @@
     def __init__(
         self,
         log: work_log_module.WorkLog,
-        retention_s: float,
-        call_bytes: int,
+        settings: settings_module.Store,
     ) -> None:
         self._log = log
-        self._retention_s = retention_s
-        self._call_bytes = call_bytes
+        self._settings = settings
         self._renewed_s: dict[ids.JobId, float] = {}
         self._running: set[ids.JobId] = set()
 
@@ -93,7 +92,7 @@
         return entry.is_open and is_due(
             age_s=clock.unix_s() - entry.head.submitted_ms / 1000,
             since_renewal_s=clock.uptime_s() - renewed_s,
-            retention_s=self._retention_s,
+            retention_s=self._settings.retention_s,
         )
 
     def _run(self, entry: table.JobEntry) -> None:
@@ -138,7 +137,7 @@
         stream = records.text_stream_name(entry.head.job_id)
         renewed: dict[records.RecordLocation, records.RecordLocation] = {}
         lost: set[records.RecordLocation] = set()
-        for batch in _split(found, self._call_bytes // 2):
+        for batch in _split(found, self._settings.call_bytes // 2):
             texts = self._read(batch, lost)
             kept = [location for location in batch if location not in lost]
             if kept:
@@ -188,7 +187,9 @@
             tuple((first, p.offset, p.size_bytes) for first, p in parts),
             tuple(_encode_result(r, texts) for r in entry.results),
         )
-        self._log.append([renewal])
+        self._log.append(
+            records.split_renewal(renewal, self._settings.record_bytes)
+        )
 
 
 def _split(
--- a/src/lentildeal/_internal/jobs/runner.py
+++ b/src/lentildeal/_internal/jobs/runner.py
@@ -87,10 +87,7 @@
         self._wakeup = wakeup.Wakeup()
         self._recorder = recording.ItemRecorder(self._log)
         self._scorer = scoring.ItemScorer(kernel, self._recorder, self._wakeup)
-        store = kernel.settings.store
-        self._renewer = renewal.JobRenewer(
-            self._log, store.retention_s, store.call_bytes
-        )
+        self._renewer = renewal.JobRenewer(self._log, kernel.settings.store)
         self._checkpointed_s = 0.0
         self._opening_monitor = opening.OpeningMonitor(kernel, self._jobs)
         self._is_draining = False
--- a/src/lentildeal/_internal/jobs/table.py
+++ b/src/lentildeal/_internal/jobs/table.py
@@ -156,6 +156,8 @@
         self._text_versions: dict[ids.JobId, int] = {}
         # Offset of the last result or end of each job.
         self._changed_at: dict[ids.JobId, ids.Offset] = {}
+        # Results of the renewal that follows in the append.
+        self._renewed_results: list[records.RenewedResults] = []
         # All records from here on were read.
         self._read_from = ids.Offset(0)
 
@@ -205,6 +207,12 @@
             return self._apply_job(record)
         if isinstance(record, records.JobRenewal):
             return self._apply_renewal(record)
+        if isinstance(record, records.RenewedResults):
+            self._renewed_results.append(record)
+            return False
+        found, self._renewed_results = self._renewed_results, []
+        if isinstance(record, records.LargeJobRenewal):
+            return self._apply_renewal(record.join(found))
         if isinstance(record, records.JobText):
             self._text_versions[record.job_id] = record.text_version
             return False
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -313,13 +313,13 @@
     assert names == [('job', 0), ('other', 0)]
 
 
-def test_job_with_a_lost_text_is_renewed(log, store, monkeypatch):
+def test_job_with_a_lost_text_is_renewed(kernel, log, store, monkeypatch):
     # Guards against a job that expires as one of its texts can't be renewed.
     entry = list_two_results(log, store)
     monkeypatch.setattr(
         renewal.clock, 'unix_s', lambda: job_builders.NOW_S + 100
     )
-    renewer = renewal.JobRenewer(log, 300.0, 100_000)
+    renewer = renewal.JobRenewer(log, kernel.settings.store)
     renewer.start_due([entry])
     store_kernel.wait_for(lambda: entry.renewal_count)
     first, second = entry.results
--- a/tests/unit/jobs/test_record_fields.py
+++ b/tests/unit/jobs/test_record_fields.py
@@ -33,6 +33,8 @@
     records.RequestTurn(1, 'r1', 3),
     records.JobText('job', 1),
     records.ClaimBasis(3),
+    records.RenewedResults('job', 3, ((0, 'done', (1,), 7, 9),)),
+    records.LargeJobRenewal(1, (3, 1, (), ('i0',), ((0, 0, 10),), ())),
     records.JobPart((('i', 'g', '/p', {'a': 'b'}, b'', 1),)),
     records.EventTexts(('one',)),
     records.UsageCounts(1, 1, 1, ((1, 'a', 2),)),
--- a/tests/unit/jobs/test_renewal.py
+++ b/tests/unit/jobs/test_renewal.py
@@ -3,11 +3,14 @@
 import eventlet
 import pytest
 
+from lentildeal._internal import exceptions
 from lentildeal._internal.jobs import loading
+from lentildeal._internal.jobs import plugin
 from lentildeal._internal.jobs import records
 from lentildeal._internal.jobs import renewal
 from lentildeal._internal.jobs import table
 from lentildeal._internal.jobs import work_log as work_log_module
+from lentildeal._internal.models import jobs
 from tests.lib import fake_store
 from tests.lib import job_builders
 from tests.lib import store_kernel
@@ -131,7 +134,7 @@
     kernel, log = start_log(store)
     accept(log)
     expired = {name: len(found) for name, found in store.streams.items()}
-    renewer = renewal.JobRenewer(log, 300.0, 100_000)
+    renewer = renewal.JobRenewer(log, kernel.settings.store)
     entry = log.table.get('job')
     store.faults = list(faults)
     renewer.start_due([entry])
@@ -148,3 +151,107 @@
     (text,) = log.read_texts([listed.location])
     assert (listed.index, text.events) == (1, ('a', 'b'))
     kernel.close()
+
+
+RECORD_BYTES = 16_384
+
+
+def make_large_renewal(count):
+    """Renewal of a job with a result for each item."""
+    item_ids = tuple(f'{n:016x}' for n in range(count))
+    accepted = job_builders.make_accepted(item_ids=item_ids)
+    return records.JobRenewal(
+        3,
+        7,
+        accepted.head,
+        item_ids,
+        ((0, 40, 10),),
+        tuple(
+            (n, 'done', (1, 2), 10**9 + n, 1000, '', 1) for n in range(count)
+        ),
+    )
+
+
+def test_large_renewal_is_the_same_in_several_records():
+    """Guards against a job of many items that ends with its records."""
+    whole = make_large_renewal(900)
+    found = records.split_renewal(whole, RECORD_BYTES)
+    bodies = [records.encode(record) for record in found]
+    assert len(bodies) > 2
+    assert max(map(len, bodies)) <= RECORD_BYTES
+    decoded = [records.decode(body) for body in bodies]
+    split, joined = fold(4, *decoded).get('job'), fold(4, whole).get('job')
+    assert split.results == joined.results
+    assert len(split.results) == 900
+    assert split.parts == joined.parts
+    assert split.renewal_count == 1
+    assert records.split_renewal(make_renewal(3), RECORD_BYTES) == [
+        make_renewal(3)
+    ]
+
+
+@pytest.mark.parametrize('missing', [0, 1])
+def test_large_renewal_without_all_results_has_no_effect(missing):
+    """Guards against a renewal that loses results of a job.
+
+    The records before it were not read, or belong to another renewal.
+    """
+    first = records.split_renewal(make_large_renewal(900), RECORD_BYTES)
+    del first[missing]
+    found = table.JobTable()
+    found.skip_to(4)
+    with pytest.raises(exceptions.UnreadableRecordError):
+        for offset, record in enumerate(first, start=4):
+            found.apply(record, offset)
+    assert found.get('job') is None
+    # A renewal after it is not affected.
+    for record in records.split_renewal(make_large_renewal(900), RECORD_BYTES):
+        found.apply(record, 99)
+    assert len(found.get('job').results) == 900
+
+
+def test_largest_job_outlives_its_records(store):
+    """Guards against a bound on the items of a job that renewals exceed."""
+    store.record_bytes = RECORD_BYTES
+    kernel = store_kernel.StoreKernel(store)
+    kernel.settings.store.record_bytes = RECORD_BYTES
+    log = kernel.add_work_log()
+    store_kernel.wait_for(lambda: log.is_caught_up)
+    found = plugin.Jobs(kernel)
+    count = 900
+
+    def submit(item_count):
+        items = tuple(
+            job_builders.make_item(f'{n:016x}') for n in range(item_count)
+        )
+        head = job_builders.make_head('job', item_count)
+        found.submit(jobs.Job(head, items))
+
+    with pytest.raises(exceptions.BadRequestError, match='ids'):
+        submit(1024)
+    submit(count)
+    (place,) = log.append_texts(
+        records.text_stream_name('job'), [records.EventTexts(('a',))]
+    )
+    for start in range(0, count, 100):
+        log.append(
+            [
+                job_builders.make_result(index=n, offset=place.offset)
+                for n in range(start, min(start + 100, count - 1))
+            ]
+        )
+    log.sync()
+    entry = log.table.get('job')
+    assert len(entry.results) == count - 1
+    expired = {name: len(s) for name, s in store.streams.items()}
+    renewer = renewal.JobRenewer(log, kernel.settings.store)
+    renewer.start_due([entry])
+    store_kernel.wait_for(lambda: entry.renewal_count)
+    kernel.close()
+    for name, end in expired.items():
+        store.trim(name, end)
+    kernel, log = start_log(store)
+    entry = log.table.get('job')
+    assert len(entry.results) == count - 1
+    assert loading.load_item(log, entry, count - 1).item_id == f'{899:016x}'
+    kernel.close()
