Test that a request that is reset is not run

Bodies of requests have a length or chunks, so the server can't take a reset for their end. The test passes before and after the corrections; it keeps the reason why this path needed none.

--- a/tests/unit/network/test_requests.py
+++ b/tests/unit/network/test_requests.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 
+import eventlet
 from eventlet.green import socket
 import pytest
 
@@ -10,6 +11,7 @@
 from lentildeal._internal.network import http_server
 from lentildeal._internal.network import yielding
 from lentildeal._internal.settings import settings as settings_module
+from tests.lib import raw_server
 from tests.lib import turns as turns_lib
 
 HEAD = (
@@ -50,7 +52,7 @@
         self.seen.append((request.method, request.target, request.body))
         return http_server.json_response(None)
 
-    def send(self, data):
+    def send(self, data, *, is_reset=False):
         """Sends bytes, then the end; returns what the server took from it."""
         self.seen = []
         with contextlib.closing(
@@ -59,9 +61,14 @@
             client.settimeout(5.0)
             with contextlib.suppress(ConnectionError):
                 client.sendall(data)
-                client.shutdown(socket.SHUT_WR)
-                while client.recv(65536):
-                    pass
+                if is_reset:
+                    raw_server.reset_on_close(client)
+                else:
+                    client.shutdown(socket.SHUT_WR)
+                    while client.recv(65536):
+                        pass
+        if is_reset:
+            eventlet.sleep(0.01)
         return self.seen
 
 
@@ -78,6 +85,14 @@
         assert server.send(REQUEST[:size]) == [], REQUEST[:size]
 
 
+def test_request_that_is_reset_is_not_run(server):
+    # Guards against a reset that is taken for the end of a request.
+    plain = b'POST /first HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody'
+    for request in (REQUEST, plain):
+        for size in range(len(request)):
+            assert server.send(request[:size], is_reset=True) == []
+
+
 def test_spoiled_request_never_runs_what_its_body_holds(server):
     # Guards against request smuggling: a head that ends at a line that is no
     # field leaves the body, which then is the next request.
