Bound the time of a page of results

A page of results took one call to the store for almost each text, one after another: 22 s for 90 results at a store that takes 0.24 s for a call. Readers wait for 1.5 s and begin anew at another daemon, so nobody could read such a job while the store was slow. One failed call cost the whole page.

Change: up to 8 calls for texts at a time; a page ends after 0.5 s, or before a text that can't be read now, with the results loaded so far, at least one.

--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -25,6 +25,10 @@
 # Maximum size of the texts in one response; callers continue at the next
 # position.
 PAGE_BYTES = 900_000
+# Time after which a page ends, and results that are loaded before each look at
+# the clock. Trainers wait for 1.5 s; the slow store takes 0.24 s for a read.
+PAGE_READ_S = 0.5
+PAGE_BATCH = 16
 # Time in which an append is retried before the submission is refused with
 # Retry-After. A retry at another daemon costs the trainer less than a longer
 # wait.
@@ -407,23 +411,44 @@
             raise _make_unavailable_error(error) from error
 
     def _make_page(self, entry: table.JobEntry, after: int) -> JobPage:
+        """Loads results until the page is full or took too long.
+
+        Raises:
+            exceptions.NotRunError: The store did not give the first ones.
+        """
         listed = _select_page(entry.results[after:])
+        deadline = clock.Deadline(PAGE_READ_S)
+        found: list[jobs.Result] = []
+        for start in range(0, len(listed), PAGE_BATCH):
+            if found and deadline.has_passed:
+                break
+            batch = listed[start : start + PAGE_BATCH]
+            try:
+                found += self._load_results(entry, batch)
+            except exceptions.PlatformError as error:
+                if found:
+                    # The next request begins with these results.
+                    break
+                raise _make_unavailable_error(error) from error
+        return JobPage(entry.head.item_count, after + len(found), tuple(found))
+
+    def _load_results(
+        self,
+        entry: table.JobEntry,
+        listed: typing.Sequence[table.ListedResult],
+    ) -> list[jobs.Result]:
         places = [
             loading.TextPlace(entry.item_ids[r.index], r.location)
             for r in listed
             if r.location is not None
         ]
-        try:
-            texts = iter(loading.load_all_events(self._log, places))
-        except exceptions.PlatformError as error:
-            raise _make_unavailable_error(error) from error
-        found = tuple(
+        texts = iter(loading.load_all_events(self._log, places))
+        return [
             _make_result(
                 entry, result, None if result.location is None else next(texts)
             )
             for result in listed
-        )
-        return JobPage(entry.head.item_count, after + len(found), found)
+        ]
 
 
 @contextlib.contextmanager
--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -44,6 +44,8 @@
 # second, so a single unresponsive read, detected after 2.3 s, has no effect.
 UNREACHABLE_S = 1.6
 READ_BYTES = 512 * 1024
+# Calls for the texts of one request that run at the same time.
+PARALLEL_READS = 8
 # Bound of the types of records that are named in the log.
 MAX_UNKNOWN_TYPES = 100
 FIRST_RETRY_DELAY_S = 0.05
@@ -282,6 +284,9 @@
     ) -> list[typing.Any]:
         """Reads texts, those with consecutive offsets in one call.
 
+        The texts of a job lie between those of others, so that there are
+        almost as many calls as texts. Some of them run at the same time.
+
         Raises:
             exceptions.PlatformError: The store did not respond, or a text
                 can't be read; see ``loading.LOST_ERRORS``.
@@ -295,8 +300,10 @@
                 missing.append(location)
             else:
                 bodies[location] = body
-        for group in texts_module.group_adjacent(missing):
-            bodies.update(self._read_group(group))
+        groups = texts_module.group_adjacent(missing)
+        pool = eventlet.GreenPool(PARALLEL_READS)
+        for found in pool.imap(self._read_group, groups):
+            bodies.update(found)
         return [records.decode(bodies[location]) for location in locations]
 
     def _read_group(
--- a/tests/unit/jobs/test_lost_items.py
+++ b/tests/unit/jobs/test_lost_items.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import time
 
 import pytest
 
@@ -289,6 +290,78 @@
         found.read_body('job', 'i0')
 
 
+def list_scattered_results(log, count):
+    """Lists results whose texts lie between those of another job."""
+    item_ids = [f'i{n}' for n in range(count)]
+    (part,) = log.append_texts(STREAM, [make_part(*item_ids)])
+    accepted = job_builders.make_accepted(
+        item_ids=tuple(item_ids),
+        submitted_ms=int(job_builders.NOW_S * 1000),
+    )
+    log.append(
+        [
+            dataclasses.replace(
+                accepted, parts=((0, part.offset, part.size_bytes),)
+            )
+        ]
+    )
+    for number, item_id in enumerate(item_ids):
+        texts = [records.EventTexts((item_id,), i) for i in (item_id, 'other')]
+        place, _ = log.append_texts(STREAM, texts)
+        log.append(
+            [
+                records.ItemResult(
+                    'job', number, 'done', (1,), place.offset, place.size_bytes
+                )
+            ]
+        )
+    log.sync()
+    log.clear_text_cache()
+
+
+def read_page(jobs_plugin, after):
+    started_s = time.monotonic()
+    page = jobs_plugin.read('job', after, 0.0)
+    # Trainers wait for 1.5 s.
+    assert time.monotonic() - started_s < 1.5
+    return page
+
+
+def test_results_can_be_read_from_a_slow_store(kernel, log, store):
+    """Guards against a job that nobody can read while the store is slow.
+
+    A page of 90 texts took as many calls, one after another.
+    """
+    list_scattered_results(log, 90)
+    store.read_delay_s = 0.24
+    jobs_plugin = plugin.Jobs(kernel)
+    found = []
+    while len(found) < 90:
+        page = read_page(jobs_plugin, len(found))
+        assert page.results
+        found += page.results
+        assert page.next == len(found)
+    assert [r.text for r in found] == [f'i{n}' for n in range(90)]
+
+
+def test_page_ends_before_a_text_that_can_not_be_read_now(kernel, log, store):
+    """Guards against results that wait for a later one."""
+    list_scattered_results(log, 40)
+    jobs_plugin = plugin.Jobs(kernel)
+    read_texts = log.read_texts
+
+    def fail_later(locations):
+        if locations and locations[0].offset > 60:
+            raise exceptions.LogUnavailableError('one read failed')
+        return read_texts(locations)
+
+    log.read_texts = fail_later
+    page = read_page(jobs_plugin, 0)
+    assert 0 < len(page.results) < 40
+    with pytest.raises(exceptions.NotRunError):
+        jobs_plugin.read('job', len(page.results), 0.0)
+
+
 def test_read_that_fails_is_logged(kernel, log, store, monkeypatch):
     # Guards against a job that can't be read for a reason that nobody sees.
     found = []
