--- a/src/lentildeal/_internal/jobs/work_log.py
+++ b/src/lentildeal/_internal/jobs/work_log.py
@@ -301,11 +301,20 @@
             else:
                 bodies[location] = body
         groups = texts_module.group_adjacent(missing)
-        pool = eventlet.GreenPool(PARALLEL_READS)
-        for found in pool.imap(self._read_group, groups):
+        for found in self._read_groups(groups):
             bodies.update(found)
         return [records.decode(bodies[location]) for location in locations]
 
+    def _read_groups(
+        self, groups: list[list[records.RecordLocation]]
+    ) -> typing.Iterable[dict[records.RecordLocation, bytes]]:
+        if len(groups) < 2:
+            # Most reads are for what was listed last.
+            return map(self._read_group, groups)
+        return eventlet.GreenPool(PARALLEL_READS).imap(
+            self._read_group, groups
+        )
+
     def _read_group(
         self, group: list[records.RecordLocation]
     ) -> dict[records.RecordLocation, bytes]:
