Keep hashes of the ids that a connection has carried

Clients choose their ids and how long they are (a head may have 16 KiB), and a connection kept up to 100 of them. A hash takes the same room for each; two ids with one hash cost no more than a new connection.

--- a/src/lentildeal/_internal/network/client_connections.py
+++ b/src/lentildeal/_internal/network/client_connections.py
@@ -29,8 +29,8 @@
 # A connection is no longer used this long before its server closes it.
 IDLE_MARGIN_S = 0.5
 
-# Identified requests after which a connection is closed. It keeps their
-# identifiers, about 100 bytes each.
+# Identified requests after which a connection is closed. It keeps a hash of
+# each identifier, about 100 bytes.
 MAX_IDENTIFIED_REQUESTS = 100
 
 # Largest body that is kept in memory. Twenty of them take a third of the
@@ -102,7 +102,8 @@
     def __init__(self, sock: typing.Any, address: str) -> None:
         self._socket = sock
         self._address = address
-        self._request_ids: set[str] = set()
+        # Hashes of identifiers: clients choose these, and how long they are.
+        self._carried: set[int] = set()
 
     @classmethod
     def connect(cls, address: str, timeout_s: float) -> ClientConnection:
@@ -139,13 +140,13 @@
         return False
 
     @property
-    def is_worn(self) -> bool:
+    def is_exhausted(self) -> bool:
         """Whether it has carried as many identified requests as it may."""
-        return len(self._request_ids) >= MAX_IDENTIFIED_REQUESTS
+        return len(self._carried) >= MAX_IDENTIFIED_REQUESTS
 
     def has_carried(self, request_id: typing.Optional[str]) -> bool:
         """Whether it was used for a request with this identifier."""
-        return request_id in self._request_ids
+        return request_id is not None and hash(request_id) in self._carried
 
     def set_timeout(self, seconds: float) -> None:
         """Sets the longest wait of a read or a write."""
@@ -175,7 +176,7 @@
         )
         has_response = False
         if request.request_id is not None:
-            self._request_ids.add(request.request_id)
+            self._carried.add(hash(request.request_id))
         try:
             self.set_timeout(timeout_s)
             self._write(request)
@@ -265,7 +266,7 @@
     ) -> None:
         """Keeps a connection after its response, or closes it."""
         idle_s = self._read_idle_s(reader.headers)
-        is_kept = reader.may_reuse_connection and not connection.is_worn
+        is_kept = reader.may_reuse_connection and not connection.is_exhausted
         if idle_s <= 0 or not is_kept:
             connection.close()
             return
--- a/tests/functional/test_repeated_answers.py
+++ b/tests/functional/test_repeated_answers.py
@@ -198,9 +198,9 @@
 
     is_reusable = True
 
-    def __init__(self, *request_ids, is_worn=False):
+    def __init__(self, *request_ids, is_exhausted=False):
         self._request_ids = request_ids
-        self.is_worn = is_worn
+        self.is_exhausted = is_exhausted
         self.is_closed = False
 
     def has_carried(self, request_id):
@@ -230,15 +230,15 @@
 
 def test_ids_of_a_connection_are_bounded():
     idle = client_connections.IdleConnections(10.0, 10.0)
-    worn = Connection(is_worn=True)
-    keep(idle, worn)
-    assert worn.is_closed
+    exhausted = Connection(is_exhausted=True)
+    keep(idle, exhausted)
+    assert exhausted.is_closed
     assert idle.pop('a', 'x') is None
     connection = client_connections.ClientConnection(None, 'a')
     for number in range(client_connections.MAX_IDENTIFIED_REQUESTS):
-        assert not connection.is_worn
-        connection._request_ids.add(str(number))
-    assert connection.is_worn
+        assert not connection.is_exhausted
+        connection._carried.add(number)
+    assert connection.is_exhausted
 
 
 def test_item_has_all_its_attempts_at_replicas_that_repeat_answers():
