Answer calls without a body that run beside each other

Of calls without a body at one replica, all but the first to end lost their answers: the count of bytes in progress dropped a replica at 0 bytes, and the end of the next call raised KeyError outside of the guarded part of the attempt. The call then waited for a result until its deadline (504).

Change: a missing entry counts as 0, and an attempt that raises anywhere has a result.

Before: test_requests_without_a_body_end_independently, test_calls_without_a_body_are_answered_beside_each_other and test_attempt_that_ends_without_a_result_is_a_failure failed. After: they pass.

--- a/src/lentildeal/_internal/gateway/forwarding.py
+++ b/src/lentildeal/_internal/gateway/forwarding.py
@@ -176,11 +176,17 @@
             self._gateway.record_overtaken(self.tried[0], copy.elapsed_s)
 
     def _run_attempt(self, replica: deployment.Replica) -> None:
-        self._results.put(
-            self._gateway.attempt(
+        try:
+            result = self._gateway.attempt(
                 replica, self._route, self._call, self._deadline
             )
-        )
+        except Exception as error:
+            # The call waits for the result of each attempt.
+            logger.opt(exception=error).error('attempt failed')
+            result = calls.AttemptResult(
+                replica, None, False, f'internal error: {error!r:.200}'
+            )
+        self._results.put(result)
 
     def _wait_for_result(
         self, hedge: clock.Deadline
--- a/src/lentildeal/_internal/routing/replica_bytes.py
+++ b/src/lentildeal/_internal/routing/replica_bytes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import typing
 
@@ -18,14 +19,17 @@
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
-        self._in_progress: dict[ids.ReplicaId, int] = {}
+        # Without the replicas that have no bytes.
+        self._in_progress: collections.Counter[ids.ReplicaId] = (
+            collections.Counter()
+        )
 
     def has_room(self, replica_id: ids.ReplicaId, size_bytes: int) -> bool:
         """Whether a replica may get a body.
 
         One that has none gets any body: a single request is always served.
         """
-        in_progress = self._in_progress.get(replica_id, 0)
+        in_progress = self._in_progress[replica_id]
         return in_progress == 0 or (
             in_progress + size_bytes <= self._limit_bytes
         )
@@ -35,8 +39,7 @@
         self, replica_id: ids.ReplicaId, size_bytes: int
     ) -> typing.Iterator[None]:
         """Counts a body while the replica has it."""
-        before = self._in_progress.get(replica_id, 0)
-        self._in_progress[replica_id] = before + size_bytes
+        self._in_progress[replica_id] += size_bytes
         try:
             yield
         finally:
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -81,6 +81,40 @@
     assert sent[-10:].count('r1') <= 2
 
 
+def test_calls_without_a_body_are_answered_beside_each_other(
+    kernel, monkeypatch
+):
+    # Guards against an answer that is lost as another call ends.
+    gateway, _ = make_gateway(kernel, monkeypatch, {})
+    send = gateway._send
+
+    def send_slowly(replica, *rest):
+        eventlet.sleep(0.05)
+        return send(replica, *rest)
+
+    monkeypatch.setattr(gateway, '_send', send_slowly)
+    route = make_route(deployment.RouteKind.UNSAFE)
+    threads = [
+        eventlet.spawn(gateway.forward, route, make_call(str(number)))
+        for number in range(20)
+    ]
+    with eventlet.Timeout(2.0):
+        assert {thread.wait().status for thread in threads} == {200}
+
+
+def test_attempt_that_ends_without_a_result_is_a_failure(kernel, monkeypatch):
+    # Guards against a call that waits until its deadline for its result.
+    gateway, _ = make_gateway(kernel, monkeypatch, {})
+
+    def fail(*_):
+        raise LookupError('unexpected')
+
+    monkeypatch.setattr(gateway.admission, 'record_attempt', fail)
+    route = make_route(deployment.RouteKind.UNSAFE)
+    with eventlet.Timeout(2.0), pytest.raises(exceptions.MayHaveRunError):
+        gateway.forward(route, make_call())
+
+
 def test_unsafe_call_whose_attempt_raised_may_have_run(kernel, monkeypatch):
     # Guards against a refusal that says the call has not run.
     gateway, sent = make_gateway(kernel, monkeypatch, {'r1', 'r2'})
--- a/tests/unit/routing/test_replica_bytes.py
+++ b/tests/unit/routing/test_replica_bytes.py
@@ -27,3 +27,17 @@
     except ValueError:
         pass
     assert limit.has_room('r1', 100)
+
+
+def test_requests_without_a_body_end_independently():
+    """Guards against an error at the end of the second of two requests.
+
+    Its answer was lost, and its caller waited until its deadline.
+    """
+    limit = replica_bytes.ReplicaBytes(100)
+    with limit.track('r1', 0):
+        with limit.track('r1', 0):
+            pass
+        with limit.track('r1', 0):
+            assert limit.has_room('r1', 1000)
+    assert limit.has_room('r1', 1000)
