Close idle connections that have carried the id of a request

Since "Never send an id twice on a connection to a target" such connections were kept for others.

Change: they are closed. An attempt that comes back to a replica costs one connection more at most, and the pool is as small as before.

--- a/src/lentildeal/_internal/network/client_connections.py
+++ b/src/lentildeal/_internal/network/client_connections.py
@@ -45,9 +45,9 @@
 
 Headers = typing.Sequence[tuple[str, str]]
 
-_skipped_total = prometheus_client.Counter(
-    'lentildeal_connections_skipped_total',
-    'Idle connections not used for a request, as they had carried its id.',
+_dropped_total = prometheus_client.Counter(
+    'lentildeal_connections_dropped_total',
+    'Idle connections closed before a request whose id they had carried.',
 )
 
 
@@ -240,23 +240,20 @@
             address: Address of the server.
             request_id: Identifier of the next request, if it has one.
         """
-        queue = self._idle.get(address, collections.deque())
-        skipped: list[_IdleConnection] = []
-        found = None
-        while queue and found is None:
+        queue = self._idle.get(address)
+        while queue:
             idle = queue.pop()
             is_usable = idle.usable_until_s > clock.monotonic_s()
+            has_carried = idle.connection.has_carried(request_id)
+            if has_carried:
+                _dropped_total.inc()
             # Unread bytes on an idle connection belong to no request.
-            if not is_usable or not idle.connection.is_reusable:
-                idle.connection.close()
-            elif idle.connection.has_carried(request_id):
-                skipped.append(idle)
-            else:
-                found = idle.connection
-        if skipped:
-            _skipped_total.inc(len(skipped))
-            queue.extend(reversed(skipped))
-        return found
+            if is_usable and not has_carried and idle.connection.is_reusable:
+                return idle.connection
+            # Kept, it would be one more for each call of a client that uses
+            # one id for all.
+            idle.connection.close()
+        return None
 
     def put_back(
         self,
