--- a/src/lentildeal/_internal/adapters/http_engine.py
+++ b/src/lentildeal/_internal/adapters/http_engine.py
@@ -14,8 +14,7 @@
 from lentildeal._internal.utils import clock
 
 CONTROL_TIMEOUT_S = 2.0
-# Bytes of a stream without its tokens, and of each token. An event of one
-# token has 50 to 200 bytes.
+# Bytes of a stream without its tokens, and of each token.
 STREAM_OVERHEAD_BYTES = 64 * 1024
 MAX_TOKEN_BYTES = 1024
 
--- a/src/lentildeal/_internal/jobs/plugin.py
+++ b/src/lentildeal/_internal/jobs/plugin.py
@@ -26,7 +26,7 @@
 # position.
 PAGE_BYTES = 900_000
 # Time after which a page ends, and results that are loaded before each look at
-# the clock. Trainers wait for 1.5 s; the slow store takes 0.24 s for a read.
+# the clock.
 PAGE_READ_S = 0.5
 PAGE_BATCH = 16
 # Time in which an append is retried before the submission is refused with
--- a/src/lentildeal/_internal/network/client_connections.py
+++ b/src/lentildeal/_internal/network/client_connections.py
@@ -30,7 +30,7 @@
 IDLE_MARGIN_S = 0.5
 
 # Identified requests after which a connection is closed. It keeps a hash of
-# each identifier, about 100 bytes.
+# each identifier.
 MAX_IDENTIFIED_REQUESTS = 100
 
 # Largest body that is kept in memory. Twenty of them take a third of the
--- a/src/lentildeal/_internal/network/http_protocol.py
+++ b/src/lentildeal/_internal/network/http_protocol.py
@@ -48,8 +48,7 @@
 # hundred times as much; callers wait for less than this time.
 WRITE_TIMEOUT_S = 15.0
 MIN_WRITE_BYTES_PER_S = 16 * 1024
-# Time for the last bytes before a reset, which discards what was not sent. A
-# lost packet is sent again after 0.2 s.
+# Time for the last bytes before a reset, which discards what was not sent.
 SEND_REST_S = 0.5
 SEND_REST_POLL_S = 0.01
 _LINGER = struct.Struct('ii')
